Refuse requests that carry both length headers, and close after malformed ones

RFC 9112 6.3 wants an error and the end of the connection.

Lines at fault: ServeHTTP in frontend.go took every request that net/http passed on, and left the connection open behind a malformed one. Connections now keep the head as it came and a request with both headers gets 400. Every malformed request ends its connection. HTTP/1.0, whose chunks net/http doesn't know, is checked too.

Without the check TestWhereRequestsEnd fails in five cases.

--- /dev/null
+++ b/internal/sidecar/framing.go
@@ -0,0 +1,87 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/textproto"
+	"sync"
+)
+
+var errFraming = errors.New("Transfer-Encoding beside Content-Length, or in a request whose head was not seen")
+
+// headListener makes connections keep the head of the request that is being read.
+type headListener struct{ net.Listener }
+
+func (l headListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &headConn{Conn: c}, nil
+}
+
+// headConn keeps a request's head as it came. net/http drops a Content-Length that stands beside a
+// Transfer-Encoding and reads on behind the last chunk, so what the sender holds for the rest of its body
+// would be taken as a request of its own.
+type headConn struct {
+	net.Conn
+
+	mu    sync.Mutex // net/http also reads while a handler works
+	head  []byte
+	whole bool
+}
+
+func (c *headConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.whole {
+		seen := max(len(c.head)-3, 0) // the empty line may have come in two parts
+		c.head = append(c.head, p[:n]...)
+		c.whole = bytes.Contains(c.head[seen:], []byte("\n\r\n")) || bytes.Contains(c.head[seen:], []byte("\n\n")) ||
+			len(c.head) > 2*maxHeader
+	}
+	return n, err
+}
+
+// next drops the head: its request has been answered.
+func (c *headConn) next() {
+	c.mu.Lock()
+	c.head, c.whole = c.head[:0], false
+	c.mu.Unlock()
+}
+
+type connKey struct{}
+
+// withConn lets handlers find their connection.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// checkFraming refuses a request whose end two headers tell (RFC 9112, 6.3). HTTP/1.0 knows no chunks, and
+// net/http reads such a request by its Content-Length alone.
+func checkFraming(r *http.Request) error {
+	if len(r.TransferEncoding) == 0 && r.ProtoAtLeast(1, 1) {
+		return nil
+	}
+	c, ok := r.Context().Value(connKey{}).(*headConn)
+	if !ok {
+		return errFraming
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	in := textproto.NewReader(bufio.NewReader(bytes.NewReader(c.head)))
+	if _, err := in.ReadLine(); err != nil {
+		return errFraming
+	}
+	head, err := in.ReadMIMEHeader()
+	switch chunked := head["Transfer-Encoding"] != nil; {
+	case err != nil, chunked != (len(r.TransferEncoding) > 0), chunked && head["Content-Length"] != nil:
+		return errFraming
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sidecar/framing_test.go
@@ -0,0 +1,130 @@
+package sidecar
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// wireRequest is a request of class charge as bytes; head lines go before the empty line.
+func wireRequest(id, lines, body string) string {
+	return "POST /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: charge\r\n" +
+		"X-Tenant-Id: kita\r\nX-Timeout-Ms: 1000\r\n" + lines + "\r\n" + body
+}
+
+// A message ends where all its headers say, or it is refused: what stands in a body is never a request.
+func TestWhereRequestsEnd(t *testing.T) {
+	inner := wireRequest("inner", "Content-Length: 0\r\n", "")
+	http10 := func(s string) string { return strings.Replace(s, "HTTP/1.1", "HTTP/1.0", 1) }
+	for name, test := range map[string]struct {
+		bytes  string
+		status []int  // of the answers, in order
+		bodies string // of what reaches the server
+		closed bool
+	}{
+		"length":          {wireRequest("1", "Content-Length: 3\r\n", "abc"), []int{200}, "[abc]", false},
+		"chunks":          {wireRequest("1", "Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n"), []int{200}, "[abc]", false},
+		"chunks and tail": {wireRequest("1", "Transfer-Encoding: chunked\r\nTrailer: X-A\r\n", "3\r\nabc\r\n0\r\nX-A: b\r\n\r\n"), []int{200}, "[abc]", false},
+		"no body":         {wireRequest("1", "", ""), []int{200}, "[]", false},
+		"one length, twice": {
+			wireRequest("1", "Content-Length: 3\r\nContent-Length: 3\r\n", "abc"), []int{200}, "[abc]", false,
+		},
+		"a request as body": {
+			wireRequest("1", "Content-Length: "+strconv.Itoa(len(inner))+"\r\n", inner), []int{200}, "[" + inner + "]", false,
+		},
+		"pipelined": {
+			wireRequest("1", "Content-Length: 3\r\n", "abc") + wireRequest("2", "Content-Length: 2\r\n", "de"),
+			[]int{200, 200}, "[abc][de]", false,
+		},
+		"length, then chunks": {
+			wireRequest("1", "Content-Length: "+strconv.Itoa(5+len(inner))+"\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"+inner),
+			[]int{400}, "", true,
+		},
+		"chunks, then length": {
+			wireRequest("1", "transfer-encoding: chunked\r\ncontent-length: "+strconv.Itoa(5+len(inner))+"\r\n", "0\r\n\r\n"+inner),
+			[]int{400}, "", true,
+		},
+		"both behind another": {
+			wireRequest("0", "Content-Length: 3\r\n", "abc") +
+				wireRequest("1", "Transfer-Encoding: chunked\r\nContent-Length: "+strconv.Itoa(5+len(inner))+"\r\n", "0\r\n\r\n"+inner),
+			[]int{200, 400}, "[abc]", true,
+		},
+		"both, bare line feeds": {
+			strings.ReplaceAll(wireRequest("1", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", ""), "\r\n", "\n") + "0\r\n\r\n" + inner,
+			[]int{400}, "", true,
+		},
+		"both by HTTP/1.0": {
+			http10(wireRequest("1", "Connection: keep-alive\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"+inner)),
+			[]int{400}, "", true,
+		},
+		"two lengths":       {wireRequest("1", "Content-Length: 3\r\nContent-Length: 4\r\n", "abc"+inner), []int{400}, "", true},
+		"length is no word": {wireRequest("1", "Content-Length: ten\r\n", "abc"+inner), []int{400}, "", true},
+		"length below 0":    {wireRequest("1", "Content-Length: -3\r\n", "abc"+inner), []int{400}, "", true},
+		"other coding":      {wireRequest("1", "Transfer-Encoding: gzip, chunked\r\n", "0\r\n\r\n"+inner), []int{501}, "", true},
+		"chunk is no chunk": {wireRequest("1", "Transfer-Encoding: chunked\r\n", "zz\r\n"+inner), []int{400}, "", true},
+		"oversized": {
+			wireRequest("1", "Content-Length: "+strconv.Itoa(maxBody+1+len(inner))+"\r\n", strings.Repeat("x", maxBody+1)+inner),
+			[]int{413}, "", true,
+		},
+		"a malformed one before": {
+			strings.Replace(inner, "X-Request-ID: inner\r\n", "", 1) + inner, []int{400}, "", true,
+		},
+		"GET with a body": {
+			strings.NewReplacer("POST", "GET", "charge", "lookup").Replace(wireRequest("1", "Content-Length: "+strconv.Itoa(len(inner))+"\r\n", "")) + inner,
+			[]int{400}, "", true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
+			bodies := ""
+			b := newBackend(t, "a", func(c net.Conn, r *http.Request, body string) bool {
+				mu.Lock()
+				bodies += "[" + body + "]"
+				mu.Unlock()
+				return ok(c, r, body)
+			})
+			s := start(t, newConf(newRegistry(t).addr(), b.target))
+			conn, err := net.Dial("tcp", s.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(patience))
+			if _, err := io.WriteString(conn, test.bytes); err != nil {
+				t.Fatal(err)
+			}
+			in := bufio.NewReader(conn)
+			closed := false
+			for _, want := range test.status {
+				resp, err := http.ReadResponse(in, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				io.Copy(io.Discard, resp.Body)
+				if closed = resp.Close; resp.StatusCode != want {
+					t.Errorf("status %d, want %d", resp.StatusCode, want)
+				}
+			}
+			if closed != test.closed {
+				t.Errorf("said to close: %v, want %v", closed, test.closed)
+			}
+			if closed {
+				// The end may be a reset: there is more to read that never will be.
+				if more, _ := io.ReadAll(in); len(more) > 0 {
+					t.Errorf("%q after the last answer", more)
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if bodies != test.bodies {
+				t.Errorf("the server got %q, want %q", bodies, test.bodies)
+			}
+		})
+	}
+}
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -51,9 +51,13 @@
 
 func (f *frontend) server() *http.Server {
 	return &http.Server{
-		Handler: f, ReadHeaderTimeout: headerWait, MaxHeaderBytes: maxHeader,
-		ConnState: func(_ net.Conn, state http.ConnState) {
+		Handler: f, ReadHeaderTimeout: headerWait, MaxHeaderBytes: maxHeader, ConnContext: withConn,
+		ConnState: func(c net.Conn, state http.ConnState) {
 			switch state {
+			case http.StateIdle:
+				if c, ok := c.(*headConn); ok {
+					c.next()
+				}
 			case http.StateNew:
 				f.conns.Add(1)
 			case http.StateClosed, http.StateHijacked:
@@ -70,6 +74,10 @@
 		w.Header().Set("Connection", "close") // between requests only: this one is answered first
 	}
 	f.limitWrite(w)
+	if err := checkFraming(r); err != nil {
+		reject(w, err, http.StatusBadRequest)
+		return
+	}
 	switch r.URL.Path {
 	case apiPath:
 	case readyPath:
@@ -86,7 +94,7 @@
 	}
 	c, status, err := f.parse(w, r)
 	if err != nil {
-		http.Error(w, err.Error(), status)
+		reject(w, err, status)
 		return
 	}
 	// Bounds what is open together with goroutines and connections to servers. Nothing has been sent, so a
@@ -100,6 +108,12 @@
 	f.serve(w, r, c)
 }
 
+// reject answers what is not a proper request. What may follow on its connection cannot be trusted to be one.
+func reject(w http.ResponseWriter, err error, status int) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), status)
+}
+
 func (f *frontend) ready(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet && r.Method != http.MethodHead {
 		w.Header().Set("Allow", "GET, HEAD")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -115,7 +115,7 @@
 
 	srv := s.frontend.server()
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(s.listener) }()
+	go func() { failed <- srv.Serve(headListener{s.listener}) }()
 	slog.Info("ready", "name", s.cfg.Name, "listen", s.Addr())
 	select {
 	case err := <-failed:
