Tell a broken connection from a server that is not there

Symptom: from 5 s on fewer and fewer requests are served, 46 to 72 % are refused, and it stays so though all servers are back by 13 s.

With the bytes of server connections in the log, from 2.6 s on about 5 % of attempts end as a reset, on every server, on new and kept connections alike; the first 2.6 s have none. With the module's own figures in the log four times a second, servers turn "cold" one after the other from 3 s on, seconds before the list tells of any restart (8.2 s), each just after a reset. At 9 s every server but one is held to be cold for 24 s; a cold one gets next to nothing and nothing is learned of it, so two servers get all and the module sheds up to 95 % of what comes (shedN 214 of 246 asked). With the ends of attempts in the log: 63 resets while dialing or writing, 16 refused connects.

The lines at fault: unsent() in upstream.go reported a reset before the last byte as a failed connect. The module takes that for a process that is gone, rests it, and holds it to be freshly started at its next answer (judge in balance.go). A reset proves the contrary: something is there. It now has a result of its own, Broken: it never ran, it counts as one error, and it proves no restart.

Ruled out: overload as the start of it (no request shed before 8.5 s), discovery (the list was right), limits (111 of 384 descriptors, 0.11 of a core).

The two new tests fail without the change, as does the one on short writes.

--- a/balance/api.go
+++ b/balance/api.go
@@ -172,14 +172,17 @@
 	Failed
 	Full
 	TimedOut
-	ConnectFailed
+	ConnectFailed // refused, or never came up: no process is there
 	Reset
 	Cancelled
 	Moot
+	Broken // the connection broke before the whole request was written; the process may well run
 )
 
 // NeverRan reports whether the result proves that the attempt was not executed.
-func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == Moot }
+func (r Result) NeverRan() bool {
+	return r == Full || r == ConnectFailed || r == Moot || r == Broken
+}
 
 // Outcome is the end of an attempt; each attempt gets one.
 type Outcome struct {
--- a/balance/property_test.go
+++ b/balance/property_test.go
@@ -112,7 +112,7 @@
 		}
 		for i := range o.tries {
 			if a := &o.tries[i]; a.live && w.rnd.Intn(3) > 0 {
-				res := []Result{OK, OK, OK, OK, Failed, Full, ConnectFailed, Reset, TimedOut}[w.rnd.Intn(9)]
+				res := []Result{OK, OK, OK, OK, Failed, Full, ConnectFailed, Reset, TimedOut, Broken}[w.rnd.Intn(10)]
 				a.live, a.clean = false, res.NeverRan()
 				o.answered = o.answered || res == OK
 				w.handle(Outcome{
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -11,7 +11,7 @@
 // window and after it: another send, a refusal, a failure.
 func TestWhatMayFollowAnAttempt(t *testing.T) {
 	for _, class := range []int{safeClass, unsafeClass, cellClass, allClass, zoneClass} {
-		for _, res := range []Result{Failed, Full, TimedOut, ConnectFailed, Reset, Cancelled} {
+		for _, res := range []Result{Failed, Full, TimedOut, ConnectFailed, Reset, Cancelled, Broken} {
 			for _, late := range []bool{false, true} {
 				t.Run(fmt.Sprintf("class%d/result%d/late=%v", class, res, late), func(t *testing.T) {
 					followAttempt(t, class, res, late)
@@ -194,6 +194,31 @@
 	}
 }
 
+// A connection that broke under a request tells nothing of the process: after resets all over the network,
+// a whole warm fleet was held to have restarted, and was sent next to nothing for the time of a warm-up.
+func TestBrokenConnectionIsNoRestart(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(2)...)
+	id, acts := g.ask(unsafeClass)
+	s, _ := sentTo(acts)
+	next, sent := sentTo(g.answer(id, 0, Broken, 1))
+	if !sent || next == s {
+		t.Fatalf("re-routed %v, to %d: it never ran", sent, next)
+	}
+	g.answer(id, 1, OK, 10)
+	server := g.b.byID[s]
+	if g.b.resting(server) || g.b.health(server) == 1 {
+		t.Errorf("rested %v, health %v: one error counts, but doesn't take it out", g.b.resting(server), g.b.health(server))
+	}
+	g.now += 60000
+	for range 8 {
+		id, _ = g.ask(safeClass)
+		g.answer(id, 0, OK, 10)
+	}
+	if g.b.cold(server) {
+		t.Error("held to have restarted")
+	}
+}
+
 // Once a streamed answer has begun the client owns it: no deadline, no repeat, no answer of ours.
 func TestStartedStreamIsLeftAlone(t *testing.T) {
 	cfg := baseConfig()
@@ -263,7 +288,7 @@
 // After a crash two failed connects refused a request although attempts and time were left; what may have
 // run is re-routed once at most.
 func TestWhatNeverRanUsesUpNoReroute(t *testing.T) {
-	for res, sends := range map[Result]int{ConnectFailed: 4, Full: 4, Failed: 2} {
+	for res, sends := range map[Result]int{ConnectFailed: 4, Broken: 4, Full: 4, Failed: 2} {
 		g := newRig(t, baseConfig(), fleet(8)...)
 		id, _ := g.ask(safeClass)
 		n := 1
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -190,6 +190,8 @@
 	switch {
 	case ctx.Err() != nil, err == errMoot, err == errNoSocket, !time.Now().Before(cut):
 		return balance.Moot // no fault of the server
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return balance.Broken // something answered
 	default:
 		return balance.ConnectFailed
 	}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -294,7 +295,7 @@
 	_, a, conn, req := exchanging(t, b)
 	conn.Conn.(*net.TCPConn).CloseWrite()
 	all, err := writeRequest(conn, a.cut, req, a)
-	if got := unsent(a.ctx, a.cut, err); all || got != balance.ConnectFailed {
+	if got := unsent(a.ctx, a.cut, err); all || got != balance.Broken {
 		t.Errorf("written %v, %v, result %v", all, err, got)
 	}
 	if a.sent.Load() {
@@ -302,6 +303,29 @@
 	}
 }
 
+// Only what no process answered is a connect that failed: a reset tells that something is there.
+func TestConnectFailedOrBroken(t *testing.T) {
+	op := func(op string, err error) error {
+		return &net.OpError{Op: op, Net: "tcp", Err: os.NewSyscallError(op, err)}
+	}
+	for _, test := range []struct {
+		err  error
+		want balance.Result
+	}{
+		{op("connect", syscall.ECONNREFUSED), balance.ConnectFailed},
+		{&net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}, balance.ConnectFailed},
+		{op("connect", syscall.ECONNRESET), balance.Broken},
+		{op("write", syscall.ECONNRESET), balance.Broken},
+		{op("write", syscall.EPIPE), balance.Broken},
+		{errMoot, balance.Moot},
+		{errNoSocket, balance.Moot},
+	} {
+		if got := unsent(t.Context(), time.Now().Add(time.Hour), test.err); got != test.want || !got.NeverRan() {
+			t.Errorf("%v: result %v, want %v", test.err, got, test.want)
+		}
+	}
+}
+
 // A kept connection that breaks under the write moves the request to a new one: nothing of it has run, and
 // the server is not blamed.
 func TestWriteBreaksOnKeptConnection(t *testing.T) {
