Follow discovery to its new address on SIGHUP instead of dying of it

Lines at fault: run() in main.go. It now reads the file again on SIGHUP; NODE_DISCOVERY still names the address of the start, so the file counts. Discovery moves: what is under way at the old address ends at once, a watch goes on at the new one with what changed after the list that is held, and no failure is reported. A file that can't be read changes nothing and is logged.

The test on the program fails without it (ended with signal: hangup), the ones on the watch have nothing to call.

--- a/cmd/silverreel/main.go
+++ b/cmd/silverreel/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -22,6 +23,9 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP) // unhandled it would end the program
+	defer signal.Stop(reload)
 	cfg, err := sidecar.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -31,5 +35,19 @@
 	if err != nil {
 		return err
 	}
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-reload:
+				if err := s.Reload(os.Getenv); err != nil {
+					slog.Error("reload: the configuration stays as it was", "error", err)
+				}
+			}
+		}
+	}()
 	return s.Run(ctx)
 }
--- a/cmd/silverreel/main_test.go
+++ b/cmd/silverreel/main_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // The test binary stands in for the program where this is set.
@@ -85,3 +87,56 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// The platform replaces the file and sends SIGHUP; the environment still holds the address of the start.
+func TestHangUpReadsTheNewAddress(t *testing.T) {
+	asked := make(chan string, 10)
+	registry := func(name string) string {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- name
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}))
+		t.Cleanup(srv.Close)
+		return srv.Listener.Addr().String()
+	}
+	before, after := registry("before"), registry("after")
+	config := func(discovery string) string {
+		return `{"listen":"127.0.0.1:0","discovery":"` + discovery + `","seed":"1","settings":
+			{"classes":[{"name":"c","effect":"read_like","on_time_ms":50,"hard_limit_ms":100}]}}`
+	}
+	cmd, log := program(t, config(before))
+	cmd.Env = append(cmd.Env, "NODE_DISCOVERY="+before)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	next := func() string {
+		select {
+		case name := <-asked:
+			return name
+		case <-time.After(10 * time.Second):
+			return "nobody"
+		}
+	}
+	if name := next(); name != "before" {
+		t.Errorf("%s was asked first", name)
+	}
+	for i, text := range []string{"no configuration", config(after)} {
+		path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-2], "NODE_CONFIG=")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(i, err)
+		}
+	}
+	if name := next(); name != "after" {
+		t.Errorf("%s was asked after the signal", name)
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v: %s", err, log)
+	}
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,7 @@
 var (
 	errSilent  = errors.New("no line in time")
 	errLineBig = errors.New("line too long")
+	errMoved   = errors.New("discovery is at another address now")
 )
 
 // list is the form in which discovery tells of servers.
@@ -86,19 +88,24 @@
 // discovery carries out the module's calls for the server list. Each call or watch that fails or ends is
 // reported once; when to call again is the module's decision.
 type discovery struct {
-	base   string
 	client *http.Client
 	rev    atomic.Int64 // of the list held
 	post   func(any)
 	stop   context.CancelFunc // of the watch under way; the loop's alone
 	start  func(func())
 
+	mu   sync.Mutex
+	addr string
+	here context.Context         // ends when the address changes
+	left context.CancelCauseFunc // ends here
+
 	callWait, silence time.Duration
 }
 
 func newDiscovery(addr string, post func(any), start func(func())) *discovery {
+	here, left := context.WithCancelCause(context.Background())
 	return &discovery{
-		base: "http://" + addr + "/registry/instances", post: post, start: start, stop: func() {},
+		addr: addr, here: here, left: left, post: post, start: start, stop: func() {},
 		callWait: callWait, silence: silence,
 		// No kept connections: on a broken one the transport would call a second time by itself.
 		client: &http.Client{Transport: &http.Transport{
@@ -108,6 +115,20 @@
 	}
 }
 
+// move makes all calls go to another address. What is under way at the old one ends, as that may close it at
+// any time or fall silent; a watch goes on at the new one with what changed since.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if addr == d.addr {
+		return
+	}
+	slog.Info("discovery: address changed", "address", addr)
+	d.left(errMoved)
+	d.addr = addr
+	d.here, d.left = context.WithCancelCause(context.Background())
+}
+
 // watch follows changes, in place of the watch before.
 func (d *discovery) watch(ctx context.Context) {
 	d.stop()
@@ -124,7 +145,7 @@
 // fetch asks for the whole list once.
 func (d *discovery) fetch(ctx context.Context) {
 	d.start(func() {
-		err := d.read(ctx, d.base, d.callWait, d.callWait)
+		err := d.read(ctx, "", d.callWait, d.callWait)
 		if err != io.EOF && ctx.Err() == nil {
 			slog.Warn("discovery: list call failed", "error", err)
 			d.post(news{kind: balance.ListFailed})
@@ -153,13 +174,22 @@
 }
 
 func (d *discovery) follow(ctx context.Context) error {
-	return d.read(ctx, fmt.Sprintf("%s?watch=1&after=%d", d.base, d.rev.Load()), d.callWait, d.silence)
+	for {
+		err := d.read(ctx, fmt.Sprintf("?watch=1&after=%d", d.rev.Load()), d.callWait, d.silence)
+		if err != errMoved || ctx.Err() != nil {
+			return err
+		}
+	}
 }
 
 // read hands on each line of an answer until it ends. The first may take as long as the call waits in turn.
-func (d *discovery) read(ctx context.Context, url string, first, next time.Duration) error {
+func (d *discovery) read(ctx context.Context, query string, first, next time.Duration) error {
+	d.mu.Lock()
+	url, here := "http://"+d.addr+"/registry/instances"+query, d.here
+	d.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer context.AfterFunc(here, func() { cancel(context.Cause(here)) })()
 	guard := time.AfterFunc(first, func() { cancel(errSilent) })
 	defer guard.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -168,6 +198,9 @@
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			return cause
+		}
 		return err
 	}
 	defer resp.Body.Close()
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -136,6 +137,50 @@
 	}
 }
 
+// When discovery moves, the watch goes on at the new address at once, with what came after the list held,
+// and nobody hears of a failure.
+func TestDiscoveryMoves(t *testing.T) {
+	for _, mode := range []string{"subscribe", "automatic"} {
+		t.Run(mode, func(t *testing.T) {
+			b := newBackend(t, "a", ok)
+			before, after := newRegistry(t), newRegistry(t)
+			c := newConf(before.addr()).setting(`"discovery": "subscribe"`, `"discovery": "`+mode+`"`)
+			s := start(t, c)
+			first := receive(t, "the watch", before.calls)
+			first.send(t, list{Rev: 41, All: true})
+			until(t, "the list to be taken", func() bool { return s.loop.disc.rev.Load() == 41 })
+
+			c["discovery"] = after.addr()
+			path := c.write(t)
+			env := map[string]string{"NODE_CONFIG": path, "NODE_DISCOVERY": before.addr()}
+			if err := s.Reload(func(name string) string { return env[name] }); err != nil {
+				t.Fatal(err)
+			}
+			second := receive(t, "the watch at the new address", after.calls)
+			if second.query != "watch=1&after=41" {
+				t.Errorf("asked %q", second.query)
+			}
+			receive(t, "the old watch to end", first.gone)
+			second.send(t, list{Rev: 42, Targets: []target{b.target}})
+			until(t, "the change to be taken", func() bool { return s.loop.disc.rev.Load() == 42 })
+			if got := s.do(s.request("lookup", time.Second)); got.status != 200 {
+				t.Errorf("%+v", got)
+			}
+
+			if err := os.WriteFile(path, []byte("{"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if err := s.Reload(func(name string) string { return env[name] }); err == nil {
+				t.Error("no error for a file that is no configuration")
+			}
+			second.line(t, "") // the watch goes on
+			if len(before.calls)+len(after.calls) > 0 {
+				t.Error("more calls than the two")
+			}
+		})
+	}
+}
+
 // The list from the configuration serves until discovery answers; the first call asks for what came after.
 func TestKnownListServesAtOnce(t *testing.T) {
 	b := newBackend(t, "a", ok)
