End peers that send no whole request within 2.5 s of connecting

Lines at fault: headerWait and bodyWait in frontend.go were 5 s each, one after the other. There is one time now, from the connection's begin or, on a kept connection, from the request's first byte to its last.

The new test fails in all cases with the old times.

--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/textproto"
 	"sync"
+	"time"
 )
 
 var errFraming = errors.New("Transfer-Encoding beside Content-Length, or in a request whose head was not seen")
@@ -21,7 +22,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &headConn{Conn: c}, nil
+	return &headConn{Conn: c, since: time.Now()}, nil
 }
 
 // headConn keeps a request's head as it came. net/http drops a Content-Length that stands beside a
@@ -33,12 +34,16 @@
 	mu    sync.Mutex // net/http also reads while a handler works
 	head  []byte
 	whole bool
+	since time.Time // the request's begin: its first byte, or the connection's begin
 }
 
 func (c *headConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if n > 0 && c.since.IsZero() {
+		c.since = time.Now()
+	}
 	if !c.whole {
 		seen := max(len(c.head)-3, 0) // the empty line may have come in two parts
 		c.head = append(c.head, p[:n]...)
@@ -51,10 +56,19 @@
 // next drops the head: its request has been answered.
 func (c *headConn) next() {
 	c.mu.Lock()
-	c.head, c.whole = c.head[:0], false
+	c.head, c.whole, c.since = c.head[:0], false, time.Time{}
 	c.mu.Unlock()
 }
 
+func (c *headConn) began() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.since.IsZero() { // pipelined: it came with the request before
+		c.since = time.Now()
+	}
+	return c.since
+}
+
 type connKey struct{}
 
 // withConn lets handlers find their connection.
--- a/internal/sidecar/framing_test.go
+++ b/internal/sidecar/framing_test.go
@@ -128,3 +128,56 @@
 		})
 	}
 }
+
+// Who says nothing, or stops before a request is whole, or sends it too slowly, is sent away.
+func TestPeersThatNeverFinish(t *testing.T) {
+	if peerWait >= 3*time.Second {
+		t.Errorf("peers wait %v for their end, 3 s are allowed", peerWait)
+	}
+	head := wireRequest("1", "Content-Length: 1000\r\n", "")
+	whole := wireRequest("0", "Content-Length: 3\r\n", "abc")
+	b := newBackend(t, "a", ok)
+	s := start(t, newConf(newRegistry(t).addr(), b.target), func(s *Sidecar) { s.frontend.peerWait = 200 * time.Millisecond })
+	for name, test := range map[string]struct{ first, then string }{
+		"silent":            {"", ""},
+		"half a head":       {head[:40], ""},
+		"head, no body":     {head, ""},
+		"half a body":       {head + "abc", ""},
+		"head by letters":   {head[:40], "x"},
+		"body by letters":   {head, "x"},
+		"chunks by letters": {wireRequest("1", "Transfer-Encoding: chunked\r\n", "fff\r\n"), "x"},
+		"after a whole one": {whole + head, "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			conn, err := net.Dial("tcp", s.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			began := time.Now()
+			conn.SetDeadline(began.Add(patience))
+			if _, err := io.WriteString(conn, test.first); err != nil {
+				t.Fatal(err)
+			}
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				io.Copy(io.Discard, conn) // an error or a close
+			}()
+			tick := time.NewTicker(20 * time.Millisecond)
+			defer tick.Stop()
+			for {
+				select {
+				case <-ended:
+					if took := time.Since(began); took > 15*s.frontend.peerWait {
+						t.Errorf("it took %v", took)
+					}
+					return
+				case <-tick.C:
+					io.WriteString(conn, test.then)
+				}
+			}
+		})
+	}
+}
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -31,9 +31,10 @@
 	// overdueWait is how long past deadline and answer slack the module is waited for; sockets allow 50 ms.
 	overdueWait = 25 * time.Millisecond
 	maxWait     = time.Hour // the longest X-Timeout-Ms
-	headerWait  = 5 * time.Second
-	bodyWait    = 5 * time.Second
-	writeWait   = 5 * time.Second
+	// peerWait is for a whole request, from when its connection or its first byte came: who says nothing or
+	// stops halfway is owed an end within 3 s of connecting.
+	peerWait  = 2500 * time.Millisecond
+	writeWait = 5 * time.Second
 )
 
 // frontend is the application's side.
@@ -46,12 +47,12 @@
 	maxConns int64 // from here on connections are not kept
 	maxTaken int64 // requests at a time
 
-	writeWait time.Duration
+	peerWait, writeWait time.Duration
 }
 
 func (f *frontend) server() *http.Server {
 	return &http.Server{
-		Handler: f, ReadHeaderTimeout: headerWait, MaxHeaderBytes: maxHeader, ConnContext: withConn,
+		Handler: f, ReadHeaderTimeout: f.peerWait, MaxHeaderBytes: maxHeader, ConnContext: withConn,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			switch state {
 			case http.StateIdle:
@@ -182,7 +183,7 @@
 
 // parse takes in a request; one that is malformed reaches neither the module nor a server.
 func (f *frontend) parse(w http.ResponseWriter, r *http.Request) (*call, int, error) {
-	body, err := readRequestBody(w, r)
+	body, err := f.readBody(w, r)
 	if err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
@@ -202,12 +203,16 @@
 	return c, 0, nil
 }
 
-func readRequestBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+func (f *frontend) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	began := time.Now()
+	if c, ok := r.Context().Value(connKey{}).(*headConn); ok {
+		began = c.began()
+	}
 	control := http.NewResponseController(w)
-	control.SetReadDeadline(time.Now().Add(bodyWait))
+	control.SetReadDeadline(began.Add(f.peerWait))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err == nil {
 		err = control.SetReadDeadline(time.Time{})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -65,7 +65,7 @@
 		cfg: cfg, listener: netutil.LimitListener(listener, clients), loop: l, drainAccept: drainAccept,
 		frontend: &frontend{
 			cfg: cfg, post: l.post, maxConns: int64(float64(clients) * keepShare), maxTaken: int64(maxTaken),
-			writeWait: writeWait,
+			peerWait: peerWait, writeWait: writeWait,
 		},
 	}, nil
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -95,7 +95,7 @@
 	ended  chan error
 }
 
-func start(t *testing.T, c conf) *running {
+func start(t *testing.T, c conf, changes ...func(*Sidecar)) *running {
 	t.Helper()
 	before := runtime.NumGoroutine()
 	cfg, err := c.load(t)
@@ -107,6 +107,9 @@
 		t.Fatal(err)
 	}
 	s.drainAccept = 0
+	for _, change := range changes {
+		change(s)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{Sidecar: s, t: t, term: cancel, ended: make(chan error, 1)}
 	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}, Timeout: patience}
