Learn from what age on idle connections to servers are lost

Symptom: 5 % of attempts end as resets whatever the connection, but those on connections that were idle for a while far more often.

Evidence, from the idle time and end of each attempt in the log: 5 to 9 % are reset at any idle time up to 140 ms and on new connections; from 160 ms on it is 45 % (of 160 attempts), nearly all within 1 ms and without a byte of an answer. The settings say that servers close idle connections after 5 s. Something on the way forgets them much sooner, and says nothing: the look before use (quiet) finds them open. An unsafe request has failed then.

Ruled out: the age of a connection, the number of requests on it and the server, none of which tells the two groups apart, and closes seen while idle (829), which cost nothing.

Lines at fault: get() in upstream.go trusted the settings alone. The pool now counts uses and losses by idle time and, where two rates explain them far better than one does, keeps connections only up to the age between. What was seen fades, so that a network that has changed is found again.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -22,8 +22,10 @@
 const (
 	maxBody   = 64 << 10
 	maxHeader = 32 << 10
-	idleShare = 0.85 // of the time after which a server closes an idle connection
-	probeWait = 250 * time.Millisecond
+	// A server that sends without end must not fill the memory.
+	mostAnswer = maxHeader + 2*maxBody
+	idleShare  = 0.85 // of the time after which a server closes an idle connection
+	probeWait  = 250 * time.Millisecond
 )
 
 var (
@@ -72,6 +74,7 @@
 	connIdle    time.Duration
 	reportNames []string
 	probePath   string
+	ages        idleAges
 
 	mu   sync.Mutex
 	kept map[*upstream]struct{} // those with idle connections
@@ -137,7 +140,13 @@
 			}
 			return reply{result: unsent(ctx, cut, err)}
 		}
+		idle := time.Duration(0)
+		if kept {
+			idle = time.Since(conn.since)
+		}
+		conn.left.N = mostAnswer
 		r, keep := p.readReply(ctx, conn, cut, req)
+		p.ages.note(time.Now(), idle, r.result == balance.Reset && conn.left.N == mostAnswer)
 		if stop() && keep {
 			p.put(conn)
 		} else {
@@ -199,7 +208,6 @@
 
 // readReply reads the answer to a request that was written whole: what breaks from here on may have run.
 func (p *upstreams) readReply(ctx context.Context, conn *upConn, cut time.Time, req *http.Request) (reply, bool) {
-	conn.left.N = maxHeader + 2*maxBody // a server that sends without end must not fill the memory
 	resp, err := http.ReadResponse(conn.in, req)
 	for err == nil && resp.StatusCode < 200 {
 		resp, err = http.ReadResponse(conn.in, req)
@@ -283,12 +291,12 @@
 	if up.retired.Load() || !time.Now().Before(cut) {
 		return nil, false, errMoot
 	}
-	for {
+	for connIdle := p.ages.within(p.connIdle); ; {
 		conn := p.takeIdle(up)
 		if conn == nil {
 			break
 		}
-		if time.Since(conn.since) < p.connIdle && conn.quiet() {
+		if time.Since(conn.since) < connIdle && conn.quiet() {
 			return conn, true, nil
 		}
 		p.discard(conn)
@@ -419,11 +427,12 @@
 
 // reap closes connections before their servers would.
 func (p *upstreams) reap(now time.Time) {
+	connIdle := p.ages.within(p.connIdle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for up := range p.kept {
 		n := 0
-		for n < len(up.idle) && now.Sub(up.idle[n].since) >= p.connIdle {
+		for n < len(up.idle) && now.Sub(up.idle[n].since) >= connIdle {
 			n++
 		}
 		p.closeOldest(up, n)
