Tell clients whose requests are shed when to return

The users ask that a client is told when to come back; the settings allow it (retry_after, up to max_retry_after_ms), and the module never said so.

Shed requests now carry the time that a quick answer takes: a place is free by then, and what returns can still be in time. One that failed at servers may return at once, as another may serve it. Final answers go out as early as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -68,7 +68,7 @@
 	r.stats.asked++ // only now: else its own class would look a little worse served
 	r.tenant.asked++
 	if !admitted {
-		b.answer(r)
+		b.answer(r, b.holdOff(r))
 		return nil
 	}
 	b.probeFor(r)
@@ -199,7 +199,7 @@
 	}
 	b.watch(r)
 	if b.now >= r.deadline || r.live == 0 && b.hopeless(r) {
-		b.answer(r)
+		b.answer(r, 0)
 		return
 	}
 	if r.live == 0 && !b.held(r) {
@@ -229,13 +229,22 @@
 	return spent || b.now >= r.arrived+r.class.Aim && b.refusable(r)
 }
 
-// answer ends a request unserved; clients get no hold-off, as a quick later try can be in time.
-func (b *Balancer) answer(r *request) {
-	kind := Fail
+// holdOff is when a client whose request was shed should return: after the time of a quick answer a place is
+// free again, and what comes then can still be in time. Longer ones cost more than they spared.
+func (b *Balancer) holdOff(r *request) float64 {
+	if !b.cfg.RetryAfter {
+		return 0
+	}
+	return math.Min(r.class.Aim*b.quickest, b.cfg.MaxRetryAfter)
+}
+
+// answer ends a request unserved. One that failed elsewhere may return at once: its holdOff is 0.
+func (b *Balancer) answer(r *request, holdOff float64) {
+	act := Action{Kind: Fail, Request: r.ID}
 	if b.refusable(r) {
-		kind = Refuse
+		act.Kind, act.At = Refuse, holdOff
 	}
-	b.emit(Action{Kind: kind, Request: r.ID})
+	b.emit(act)
 	b.close(r)
 }
 
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -231,6 +231,54 @@
 	}
 }
 
+// Clients whose requests are shed are told when to return, where they listen; a request that failed at a
+// server may return at once.
+func TestShedRequestsAreToldWhenToReturn(t *testing.T) {
+	for _, test := range []struct {
+		listen      bool
+		most        float64
+		least, want float64
+	}{
+		{true, 1000, 1, 300}, {true, 7, 7, 7}, {false, 1000, 0, 0},
+	} {
+		cfg := baseConfig()
+		cfg.RetryAfter, cfg.MaxRetryAfter = test.listen, test.most
+		g := newRig(t, cfg, fleet(2)...)
+		refused := 0
+		var open []RequestID
+		for range 500 { // answers take nearly all of the aim
+			g.now += 5
+			id, acts := g.ask(safeClass)
+			if _, sent := sentTo(acts); sent {
+				open = append(open, id)
+			}
+			if len(open) > 55 {
+				g.answer(open[0], 0, OK, 275)
+				open = open[1:]
+			}
+			for _, a := range acts {
+				if a.Kind == Refuse {
+					refused++
+					if a.At < test.least || a.At > test.want {
+						t.Errorf("%+v: told to stay away for %v ms", test, a.At)
+					}
+				}
+			}
+		}
+		if refused == 0 {
+			t.Errorf("%+v: nothing was shed", test)
+		}
+	}
+	g := newRig(t, baseConfig(), fleet(2)...)
+	id, _ := g.ask(safeClass)
+	g.answer(id, 0, Failed, 10)
+	for _, a := range g.answer(id, 1, Failed, 10) {
+		if a.Kind == Refuse && a.At != 0 {
+			t.Errorf("a failed request is told to stay away for %v ms", a.At)
+		}
+	}
+}
+
 // A connection that broke under a request tells nothing of the process: after resets all over the network,
 // a whole warm fleet was held to have restarted, and was sent next to nothing for the time of a warm-up.
 func TestBrokenConnectionIsNoRestart(t *testing.T) {
