Refuse answers that two headers end, or that switch the protocol

Evidence: each odd answer was given to the running code by a server of the tests. One with Content-Length beside Transfer-Encoding was passed on as 200, and its connection kept, though sidecar and server may not agree where it ended: the rest would be the next client's answer. A 503 of that kind marked X-Not-Processed was believed, so an unsafe request would have been sent again. A 101, which nobody asked for, was read over like other interim answers, and HTTP/2.0 taken.

Not at fault, as seen there: chunks cut short, two lengths, other codings and answers with no end are failed attempts; what follows an answer ends the connection; 100 and 103 are read over.

Lines at fault: readReply in upstream.go took what net/http takes. The head of an answer is now kept as that of a request is, and such an answer is a failed attempt that may have run. Behind an interim answer the head isn't seen: chunks there end the connection.

TestWhereAnswersEnd fails in five cases without the check, and the 101 in a sixth if it is read over.

--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -86,16 +86,21 @@
 	if !ok {
 		return errFraming
 	}
+	switch chunked, length, err := c.lengths(); {
+	case err != nil, chunked != (len(r.TransferEncoding) > 0), chunked && length:
+		return errFraming
+	}
+	return nil
+}
+
+// lengths tells by which headers the head says where its message ends.
+func (c *headConn) lengths() (chunked, length bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	in := textproto.NewReader(bufio.NewReader(bytes.NewReader(c.head)))
 	if _, err := in.ReadLine(); err != nil {
-		return errFraming
+		return false, false, err
 	}
 	head, err := in.ReadMIMEHeader()
-	switch chunked := head["Transfer-Encoding"] != nil; {
-	case err != nil, chunked != (len(r.TransferEncoding) > 0), chunked && head["Content-Length"] != nil:
-		return errFraming
-	}
-	return nil
+	return head["Transfer-Encoding"] != nil, head["Content-Length"] != nil, err
 }
--- a/internal/sidecar/framing_test.go
+++ b/internal/sidecar/framing_test.go
@@ -181,3 +181,44 @@
 		})
 	}
 }
+
+// An answer ends where all its headers say, or the attempt has failed and may have run: it is neither passed
+// on nor is its connection used again.
+func TestWhereAnswersEnd(t *testing.T) {
+	const done = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+	const chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"
+	for name, test := range map[string]struct {
+		answer string
+		status int
+		kept   bool
+	}{
+		"length":                {done, 200, true},
+		"chunks":                {chunks, 200, true},
+		"after an interim one":  {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + done, 200, true},
+		"chunks after interim":  {"HTTP/1.1 100 Continue\r\n\r\n" + chunks, 200, false},
+		"two answers":           {done + done, 200, false},
+		"HTTP/1.0":              {strings.Replace(done, "1.1", "1.0", 1), 200, false},
+		"length, then chunks":   {strings.Replace(chunks, "Transfer", "Content-Length: 4\r\nTransfer", 1), 502, false},
+		"chunks, then length":   {strings.Replace(chunks, "chunked", "chunked\r\ncontent-length: 4", 1), 502, false},
+		"two lengths":           {strings.Replace(done, "Length: 4", "Length: 4\r\nContent-Length: 5", 1), 502, false},
+		"neither":               {"HTTP/1.1 200 OK\r\n\r\ndone", 502, false},
+		"other coding":          {strings.Replace(chunks, "chunked", "gzip, chunked", 1), 502, false},
+		"other protocol":        {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + done, 502, false},
+		"other version":         {strings.Replace(done, "1.1", "2.0", 1), 502, false},
+		"turned away, two ends": {"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 502, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, "a", respond(test.answer, true))
+			s := start(t, newConf(newRegistry(t).addr(), b.target))
+			for range 2 {
+				got := s.do(s.request("charge", time.Second))
+				if got.status != test.status || got.status == 200 && got.body != "done" {
+					t.Errorf("%d %q, want %d", got.status, got.body, test.status)
+				}
+			}
+			if kept := b.conns.Load() == 1; kept != test.kept || b.requests.Load() != 2 {
+				t.Errorf("connection kept: %v, want %v; %d requests", kept, test.kept, b.requests.Load())
+			}
+		})
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -48,6 +48,7 @@
 	net.Conn
 	in    *bufio.Reader
 	left  *io.LimitedReader // under in: bounds an answer, headers included
+	head  *headConn         // under left: keeps the head of an answer
 	up    *upstream
 	since time.Time // idle since
 }
@@ -208,11 +209,17 @@
 
 // readReply reads the answer to a request that was written whole: what breaks from here on may have run.
 func (p *upstreams) readReply(ctx context.Context, conn *upConn, cut time.Time, req *http.Request) (reply, bool) {
+	conn.head.next()
 	resp, err := http.ReadResponse(conn.in, req)
-	for err == nil && resp.StatusCode < 200 {
+	interim := false
+	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
+		interim = true
 		resp, err = http.ReadResponse(conn.in, req)
 	}
 	var body []byte
+	if err == nil {
+		err = checkAnswer(conn, resp, interim)
+	}
 	if err == nil {
 		body, err = readBody(resp)
 	}
@@ -239,6 +246,29 @@
 	return r, !resp.Close && conn.in.Buffered() == 0
 }
 
+var (
+	errNotHTTP1 = errors.New("an answer in a protocol that was not asked for")
+	errTwoEnds  = errors.New("an answer with Transfer-Encoding beside Content-Length")
+)
+
+// checkAnswer refuses what net/http reads all the same, but would leave the connection out of step.
+func checkAnswer(conn *upConn, resp *http.Response, interim bool) error {
+	if resp.ProtoMajor != 1 || resp.StatusCode == http.StatusSwitchingProtocols {
+		return errNotHTTP1
+	}
+	if len(resp.TransferEncoding) == 0 {
+		return nil
+	}
+	if interim {
+		resp.Close = true // the head kept is the first one's
+		return nil
+	}
+	if _, length, err := conn.head.lengths(); err != nil || length {
+		return errTwoEnds
+	}
+	return nil
+}
+
 var errUnframed = errors.New("an answer without framing may be cut short")
 
 // readBody reads all of a body, or fails: what is cut short is never passed on.
@@ -311,8 +341,9 @@
 		p.release()
 		return nil, false, err
 	}
-	left := &io.LimitedReader{R: c}
-	return &upConn{Conn: c, in: bufio.NewReader(left), left: left, up: up}, false, nil
+	head := &headConn{Conn: c}
+	left := &io.LimitedReader{R: head}
+	return &upConn{Conn: c, in: bufio.NewReader(left), left: left, head: head, up: up}, false, nil
 }
 
 // quiet tells that a kept connection is open with nothing to read. A server may have closed it while it
