Answer the platform at a second address: health and figures

Design: a net/http server of its own, one call to a connection, with descriptors set aside and 2 s for a call. A request counts once, by the answer decided for it; an attempt when its last byte is written. Which servers are avoided is the module's word. The listener under both addresses holds so many connections: at the bound whoever has been silent longest without a request makes room, so that callers that hold connections shut nobody out. The reserve of descriptors follows their limit.

The way not taken: a path on the clients' address, which a crowd there would shut; and asking the loop for each call, which waits behind its inbox under load.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -471,6 +471,17 @@
 	s.rests++
 }
 
+// Avoided tells how many servers are listed, and how many of those get nothing now: they drain or rest.
+func (b *Balancer) Avoided(now float64) (listed, avoided int) {
+	b.now = now
+	for _, s := range b.servers {
+		if s.State != Ready || b.resting(s) {
+			avoided++
+		}
+	}
+	return len(b.servers), avoided
+}
+
 func (b *Balancer) onOutcome(ev Outcome) error {
 	r := b.reqs[ev.Request]
 	if r == nil || ev.Attempt >= len(r.tries) || !r.tries[ev.Attempt].live {
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -546,3 +546,24 @@
 		}
 	}
 }
+
+// Who is avoided now: servers that rest, for as long as they do, and those that drain.
+func TestAvoided(t *testing.T) {
+	servers := fleet(4)
+	servers[3].State = Draining
+	g := newRig(t, baseConfig(), servers...)
+	wants := func(listed, avoided int) {
+		t.Helper()
+		if l, a := g.b.Avoided(g.now); l != listed || a != avoided {
+			t.Errorf("%d listed, %d avoided; want %d, %d", l, a, listed, avoided)
+		}
+	}
+	wants(4, 1)
+	id, _ := g.ask(safeClass)
+	g.answer(id, 0, ConnectFailed, 1)
+	wants(4, 2)
+	g.now += 60000
+	wants(4, 1)
+	g.do(ServerList{Kind: ListFull, Servers: servers[:2]})
+	wants(2, 0)
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -20,12 +20,15 @@
 	Name      string
 	Listen    string // where the application connects
 	Discovery string
-	Cores     float64
-	MemoryMB  int // 0: no limit
-	Sockets   int // descriptors in all
+	// Management is the second address, for the platform; empty: there is none.
+	Management string
+	Cores      float64
+	MemoryMB   int // 0: no limit
+	Sockets    int // descriptors in all
 
 	balance     balance.Config
 	classes     map[string]int
+	classNames  []string
 	tenants     map[string]int // empty: the site has none
 	zones       map[string]int
 	kinds       map[string]int
@@ -39,7 +42,7 @@
 const defaultSockets = 1024
 
 // fewestSockets is the least that leaves connections for clients and servers beside the reserve.
-const fewestSockets = 2 * reservedSockets
+const fewestSockets = 2 * fewestReserve
 
 type named struct {
 	Name string `json:"name"`
@@ -50,6 +53,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Manage    string `json:"management"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -75,8 +79,8 @@
 	} `json:"limits"`
 }
 
-// LoadConfig reads the configuration file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN and
-// NODE_DISCOVERY, where set, win over the file.
+// LoadConfig reads the configuration file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN,
+// NODE_DISCOVERY and NODE_MANAGEMENT, where set, win over the file.
 func LoadConfig(getenv func(string) string) (*Config, error) {
 	path := getenv("NODE_CONFIG")
 	if path == "" {
@@ -92,6 +96,7 @@
 	}
 	for name, field := range map[string]*string{
 		"NODE_NAME": &f.Name, "NODE_LISTEN": &f.Listen, "NODE_DISCOVERY": &f.Discovery,
+		"NODE_MANAGEMENT": &f.Manage,
 	} {
 		if v := getenv(name); v != "" {
 			*field = v
@@ -105,7 +110,11 @@
 }
 
 func (f *file) config() (*Config, error) {
-	for name, addr := range map[string]string{"listen": f.Listen, "discovery": f.Discovery} {
+	addrs := map[string]string{"listen": f.Listen, "discovery": f.Discovery}
+	if f.Manage != "" {
+		addrs["management"] = f.Manage
+	}
+	for name, addr := range addrs {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return nil, fmt.Errorf("%s: %w", name, err)
 		}
@@ -126,7 +135,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	cfg := &Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Management: f.Manage,
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
 		balance: settings, zones: index(n.Zones), kinds: index(n.Kinds), reportNames: n.Report.Fields,
 		connIdle: millis(n.Limits.ConnIdle), maxOpen: n.Limits.MaxOpen, known: f.Known,
@@ -140,6 +149,9 @@
 	if cfg.classes, err = indexNamed("classes", n.Classes); err != nil {
 		return nil, err
 	}
+	for _, c := range n.Classes {
+		cfg.classNames = append(cfg.classNames, c.Name)
+	}
 	if cfg.tenants, err = indexNamed("tenants", n.Tenants); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/sidecar/figures.go
@@ -0,0 +1,77 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+)
+
+// figures count from the start of the process. Each request counts once, by the answer that was decided for it.
+type figures struct {
+	classes  []classFigures
+	calls    atomic.Int64 // attempts written whole
+	inFlight atomic.Int64 // requests taken and not ended
+	servers  atomic.Pointer[serverFigures]
+}
+
+type classFigures struct {
+	name                  string // escaped for a label
+	served, busy, failure atomic.Int64
+}
+
+// serverFigures is what the loop last published.
+type serverFigures struct{ listed, avoided, ready int }
+
+func newFigures(classes []string) *figures {
+	f := &figures{classes: make([]classFigures, len(classes))}
+	label := strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+	for i, name := range classes {
+		f.classes[i].name = label.Replace(name)
+	}
+	f.servers.Store(&serverFigures{})
+	return f
+}
+
+// count takes in the final answer of a request.
+func (f *figures) count(class, status int) {
+	c := &f.classes[class]
+	switch status {
+	case http.StatusOK:
+		c.served.Add(1)
+	case statusRefused:
+		c.busy.Add(1)
+	default:
+		c.failure.Add(1)
+	}
+}
+
+// write gives all figures in Prometheus's text form.
+func (f *figures) write(w io.Writer) {
+	for _, by := range []struct {
+		name string
+		of   func(*classFigures) int64
+	}{
+		{"success", func(c *classFigures) int64 { return c.served.Load() }},
+		{"busy", func(c *classFigures) int64 { return c.busy.Load() }},
+		{"failure", func(c *classFigures) int64 { return c.failure.Load() }},
+	} {
+		fmt.Fprintf(w, "# TYPE svc_%s counter\n", by.name)
+		for i := range f.classes {
+			fmt.Fprintf(w, "svc_%s{tier=\"%s\"} %d\n", by.name, f.classes[i].name, by.of(&f.classes[i]))
+		}
+	}
+	servers := f.servers.Load()
+	for _, one := range []struct {
+		name, kind string
+		value      int64
+	}{
+		{"backend_calls", "counter", f.calls.Load()},
+		{"inflight", "gauge", f.inFlight.Load()},
+		{"hosts_listed", "gauge", int64(servers.listed)},
+		{"hosts_down", "gauge", int64(servers.avoided)},
+	} {
+		fmt.Fprintf(w, "# TYPE svc_%s %s\nsvc_%s %d\n", one.name, one.kind, one.name, one.value)
+	}
+}
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -55,11 +55,21 @@
 
 // next drops the head: its request has been answered.
 func (c *headConn) next() {
+	if g, ok := c.Conn.(*guest); ok {
+		g.rest()
+	}
 	c.mu.Lock()
 	c.head, c.whole, c.since = c.head[:0], false, time.Time{}
 	c.mu.Unlock()
 }
 
+// work tells that the head is whole and its request at work.
+func (c *headConn) work() {
+	if g, ok := c.Conn.(*guest); ok {
+		g.work()
+	}
+}
+
 func (c *headConn) began() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -40,6 +40,7 @@
 // frontend is the application's side.
 type frontend struct {
 	cfg      *Config
+	figures  *figures
 	post     func(any)
 	draining atomic.Bool
 	conns    atomic.Int64
@@ -74,6 +75,9 @@
 	if f.draining.Load() || f.conns.Load() >= f.maxConns {
 		w.Header().Set("Connection", "close") // between requests only: this one is answered first
 	}
+	if c, ok := r.Context().Value(connKey{}).(*headConn); ok {
+		c.work()
+	}
 	f.limitWrite(w)
 	if err := checkFraming(r); err != nil {
 		reject(w, err, http.StatusBadRequest)
@@ -102,10 +106,13 @@
 	// refusal is true.
 	if f.taken.Add(1) > f.maxTaken {
 		f.taken.Add(-1)
+		f.figures.count(c.ev.Class, statusRefused)
 		write(w, answer{status: statusRefused})
 		return
 	}
 	defer f.taken.Add(-1)
+	f.figures.inFlight.Add(1)
+	defer f.figures.inFlight.Add(-1)
 	f.serve(w, r, c)
 }
 
@@ -139,6 +146,7 @@
 	case <-r.Context().Done():
 		if c.finish() {
 			f.post(hangUp{c})
+			f.figures.count(c.ev.Class, statusFailed)
 			return
 		}
 		a = <-c.answers
@@ -152,6 +160,7 @@
 			a = <-c.answers
 		}
 	}
+	f.figures.count(c.ev.Class, a.status)
 	// An attempt that passed its last check before the answer was decided may still be writing.
 	c.writing.Lock()
 	c.writing.Unlock() //nolint:staticcheck // only waits
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -12,6 +12,9 @@
 	"bayhaven/balance"
 )
 
+// publishEvery is how far the figures of servers may lag: 0.5 s is allowed.
+const publishEvery = 100 * time.Millisecond
+
 // inboxSize lets socket goroutines hand over what they have while the loop is at work.
 const inboxSize = 1024
 
@@ -112,6 +115,7 @@
 	bal     *balance.Balancer
 	ups     *upstreams
 	disc    *discovery
+	figures *figures
 	inbox   chan any
 	stopped chan struct{}
 
@@ -127,7 +131,7 @@
 
 func newLoop(cfg *Config, bal *balance.Balancer, ups *upstreams) *loop {
 	return &loop{
-		cfg: cfg, clock: newClock(), bal: bal, ups: ups,
+		cfg: cfg, clock: newClock(), bal: bal, ups: ups, figures: ups.figures,
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
 		calls: map[balance.RequestID]*call{}, servers: map[balance.ServerID]*upstream{},
 	}
@@ -150,8 +154,15 @@
 	now := l.clock.ms(time.Now())
 	l.act(now, l.bal.Start(now))
 	l.takeNews(now, news{kind: balance.ListCached, list: l.cfg.known})
+	l.publish(now)
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
+	var publish <-chan time.Time
+	if l.cfg.Management != "" {
+		ticker := time.NewTicker(publishEvery)
+		defer ticker.Stop()
+		publish = ticker.C
+	}
 	for {
 		if len(l.timers) > 0 {
 			next := max(l.timers[0].due, l.timersRan+l.cfg.balance.Quantum)
@@ -170,10 +181,18 @@
 		case <-alarm.C:
 			l.timersRan = l.clock.ms(time.Now())
 			l.fire(l.timersRan)
+		case <-publish:
+			l.publish(l.clock.ms(time.Now()))
 		}
 	}
 }
 
+// publish leaves what the module knows of the servers where the management address reads it.
+func (l *loop) publish(now float64) {
+	listed, avoided := l.bal.Avoided(now)
+	l.figures.servers.Store(&serverFigures{listed: listed, avoided: avoided, ready: len(l.servers)})
+}
+
 // fire delivers the timers that are due; one that is set meanwhile waits for the next batch.
 func (l *loop) fire(now float64) {
 	var due []timer
--- /dev/null
+++ b/internal/sidecar/management.go
@@ -0,0 +1,60 @@
+package sidecar
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	healthPath = "/healthcheck"
+	statsPath  = "/stats"
+
+	// manageWait is for a whole call, and for its answer to be taken.
+	manageWait    = 2 * time.Second
+	maxManageHead = 8 << 10
+)
+
+// management serves the platform's address. It has descriptors of its own and reads only what others left for
+// it, so that it answers under any load.
+func (s *Sidecar) management() *http.Server {
+	srv := &http.Server{
+		Handler: http.HandlerFunc(s.manage), ReadTimeout: manageWait, WriteTimeout: manageWait,
+		MaxHeaderBytes: maxManageHead,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if g, ok := c.(*guest); ok && state == http.StateActive {
+				g.work() // its time is short in any case
+			}
+		},
+		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+	}
+	srv.SetKeepAlivesEnabled(false) // one call to a connection
+	return srv
+}
+
+func (s *Sidecar) manage(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != healthPath && r.URL.Path != statsPath {
+		http.NotFound(w, r)
+		return
+	}
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		w.Header().Set("Allow", "GET, HEAD")
+		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
+		return
+	}
+	if r.URL.Path == statsPath {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		s.loop.figures.write(w)
+		return
+	}
+	switch {
+	case s.frontend.draining.Load():
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+	case s.loop.figures.servers.Load().ready == 0:
+		http.Error(w, "no server is known to be ready", http.StatusServiceUnavailable)
+	default:
+		io.WriteString(w, "ok\n")
+	}
+}
--- /dev/null
+++ b/internal/sidecar/room_test.go
@@ -0,0 +1,85 @@
+package sidecar
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// Who makes room, and in which order: nobody with a request, nobody who only just came.
+func TestWhoMakesRoom(t *testing.T) {
+	now := time.Now()
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	heard := func(g *guest, at time.Time) *guest {
+		g.heard.Store(int64(at.Sub(epoch)))
+		return g
+	}
+	named := map[string]*guest{
+		"silent":       {since: ago(time.Second)},
+		"silent later": {since: ago(time.Second / 2)},
+		"idle long":    {since: ago(3 * time.Second), kept: true},
+		"half":         heard(&guest{since: ago(2 * time.Second)}, ago(time.Second)),
+		"half, slow":   heard(&guest{since: ago(2 * time.Second)}, ago(100*time.Millisecond)),
+		"idle":         {since: ago(time.Second), kept: true},
+		"at work":      {since: ago(time.Hour), busy: true},
+		"new":          {since: now.Add(time.Hour)},
+	}
+	r := newRoom(nil, len(named))
+	for _, g := range named {
+		r.guests[g] = struct{}{}
+	}
+	for _, want := range []string{"silent", "silent later", "idle long", "half", "half, slow", "idle"} {
+		victim, _ := r.place(&guest{})
+		if victim == nil || victim != named[want] {
+			t.Fatalf("not %q but %+v goes next", want, victim)
+		}
+		delete(r.guests, victim)
+		r.most--
+	}
+	if victim, wait := r.place(&guest{}); victim != nil || wait == 0 {
+		t.Errorf("%+v has to go", victim)
+	}
+}
+
+func TestRoomIsLeftAndClosed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := newRoom(l, 1)
+	for range 2 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	first, err := r.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.(*guest).work()
+	came := make(chan error, 2)
+	accept := func() {
+		c, err := r.Accept()
+		if err == nil {
+			c.(*guest).work()
+		}
+		came <- err
+	}
+	go accept()
+	first.Close()
+	if err := receive(t, "the second", came); err != nil {
+		t.Error(err)
+	}
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	go accept()
+	r.Close()
+	if err := receive(t, "the end", came); err == nil {
+		t.Error("a connection was taken after the end")
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -12,16 +12,17 @@
 	"runtime/debug"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"bayhaven/balance"
 )
 
 const (
-	// reservedSockets are for the listener, discovery, the log and the runtime.
-	reservedSockets = 64
-	clientShare     = 0.55 // of the rest, for clients; servers have what is left
-	keepShare       = 0.75 // of the client connections: beyond it they are closed between requests
+	// A part of the sockets is for the listeners, discovery, the log, the runtime and the management address.
+	reservedShare = 1. / 6
+	fewestReserve = 24
+	mostReserve   = 64
+	manageShare   = 0.25 // of the reserve, for connections to the management address
+	clientShare   = 0.55 // of the rest, for clients; servers have what is left
+	keepShare     = 0.75 // of the client connections: beyond it they are closed between requests
 
 	memoryShare = 0.75 // of the limit; the rest is for what the runtime does not count
 	gcPercent   = 400  // garbage is small beside the limit, and there is one core
@@ -35,7 +36,8 @@
 // Sidecar is one running sidecar.
 type Sidecar struct {
 	cfg      *Config
-	listener net.Listener
+	listener *room
+	manager  *room // nil: no management address
 	loop     *loop
 	frontend *frontend
 
@@ -48,11 +50,23 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	reserve := min(max(int(float64(cfg.Sockets)*reservedShare), fewestReserve), mostReserve)
+	var manager *room
+	if cfg.Management != "" {
+		listener, err := net.Listen("tcp", cfg.Management)
+		if err != nil {
+			return nil, fmt.Errorf("management: %w", err)
+		}
+		manager = newRoom(listener, int(float64(reserve)*manageShare))
+	}
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
+		if manager != nil {
+			manager.Close()
+		}
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	free := cfg.Sockets - reservedSockets
+	free := cfg.Sockets - reserve
 	clients := int(float64(free) * clientShare)
 	servers := free - clients
 	l := newLoop(cfg, bal, newUpstreams(cfg, servers))
@@ -62,9 +76,9 @@
 		maxTaken = min(maxTaken, cfg.maxOpen)
 	}
 	return &Sidecar{
-		cfg: cfg, listener: netutil.LimitListener(listener, clients), loop: l, drainAccept: drainAccept,
+		cfg: cfg, listener: newRoom(listener, clients), manager: manager, loop: l, drainAccept: drainAccept,
 		frontend: &frontend{
-			cfg: cfg, post: l.post, maxConns: int64(float64(clients) * keepShare), maxTaken: int64(maxTaken),
+			cfg: cfg, post: l.post, figures: l.figures, maxConns: int64(float64(clients) * keepShare), maxTaken: int64(maxTaken),
 			peerWait: peerWait, writeWait: writeWait,
 		},
 	}, nil
@@ -81,6 +95,14 @@
 	}
 }
 
+// ManagementAddr is the address for the platform; empty: there is none.
+func (s *Sidecar) ManagementAddr() string {
+	if s.manager == nil {
+		return ""
+	}
+	return s.manager.Addr().String()
+}
+
 // Addr is the address where clients connect.
 func (s *Sidecar) Addr() string { return s.listener.Addr().String() }
 
@@ -129,10 +151,15 @@
 		s.loop.ups.closeAll()
 	}()
 
+	failed := make(chan error, 2)
+	if s.manager != nil {
+		manager := s.management()
+		go func() { failed <- manager.Serve(s.manager) }()
+		defer manager.Close()
+	}
 	srv := s.frontend.server()
-	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(headListener{s.listener}) }()
-	slog.Info("ready", "name", s.cfg.Name, "listen", s.Addr())
+	slog.Info("ready", "name", s.cfg.Name, "management", s.ManagementAddr(), "listen", s.Addr())
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -76,6 +76,7 @@
 	reportNames []string
 	probePath   string
 	ages        idleAges
+	figures     *figures
 
 	mu   sync.Mutex
 	kept map[*upstream]struct{} // those with idle connections
@@ -88,7 +89,7 @@
 		dialer:      net.Dialer{Timeout: millis(cfg.balance.ConnectTimeout), KeepAlive: -1},
 		connIdle:    time.Duration(float64(cfg.connIdle) * idleShare),
 		reportNames: cfg.reportNames, probePath: "/health/live",
-		kept: map[*upstream]struct{}{}, most: most,
+		kept: map[*upstream]struct{}{}, most: most, figures: newFigures(cfg.classNames),
 	}
 	if cfg.balance.Reports != balance.ReportNone {
 		p.probePath = "/stats"
@@ -133,6 +134,9 @@
 			conn.SetDeadline(longAgo) // the line above may have undone the cancel
 		}
 		all, err := writeRequest(conn, cut, req, a)
+		if all && a != nil {
+			p.figures.calls.Add(1)
+		}
 		if err != nil && !all {
 			stop()
 			p.discard(conn)
