Let a second process take over the clients' address beside the first

Design: the two processes meet at a Unix socket in $TMPDIR. The older one hands its listening socket over, so that what waits in its queue outlives it, and learns that it shares its limits: descriptors, requests taken, memory and what cold servers get are halved in both for as long as the connection between them lasts. The newer one takes requests and says yes once it knows servers from discovery, or after 1.5 s from the list it was started with, and tells the older one. On SIGTERM the older one then stops accepting at once, marks each answer with the end of its connection and closes idle connections only while nothing unread is on them. SO_REUSEPORT is set as well, for a process that nobody answers at the meeting place. A stale socket, file or directory there is nobody. Without a management address there is no upgrade and no meeting.

The way not taken: SO_REUSEPORT alone. Each process has a queue of its own then, and what waits in the older one's is reset when it closes; a classic BPF program that steers new connections away first would stay behind for the group of the next upgrade. Neither tells the processes of each other, and the limits hold for both together.

Without the meeting, the new test of waiting connections loses them all.

--- a/balance/api.go
+++ b/balance/api.go
@@ -203,6 +203,10 @@
 	Took    float64
 }
 
+// Sharing says that this sidecar now consists of so many processes with a balancer each: during an upgrade, the
+// one that goes and the one that comes.
+type Sharing struct{ Parts int }
+
 // HangUp says that the client is gone; no answer is owed.
 type HangUp struct{ Request RequestID }
 
@@ -231,6 +235,7 @@
 func (Timer) event()       {}
 func (ProbeResult) event() {}
 func (Message) event()     {}
+func (Sharing) event()     {}
 
 // ActionKind says what to do.
 type ActionKind uint8
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -404,10 +404,10 @@
 // what warm servers of its size answer of this sidecar's requests, lowered by its warmth, so that all of them
 // together stay under it; but no less than its part if all were alike, as a size only says whom this sidecar
 // prefers. Answers count, not requests, which clients repeat in overload, and few are assumed: with thirty,
-// small sidecars broke the rule.
+// small sidecars broke the rule; the processes of one sidecar assume them together.
 func (b *Balancer) coldBudget(s *server) bool {
 	share := s.weight / math.Max(b.pool, s.weight) * math.Max(1, b.cfg.FallMultiple/2)
-	fill := b.pace(1) * math.Max(share, b.warmth(s)/float64(len(b.servers)))
+	fill := b.pace(1/b.parts) * math.Max(share, b.warmth(s)/float64(len(b.servers)))
 	s.tokens = math.Min(s.tokens+fill*(b.now-s.tokensAt), math.Max(1, fill*b.cfg.FallTime/4))
 	s.tokensAt = b.now
 	return s.tokens >= 1
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -370,6 +370,26 @@
 	}
 }
 
+// The two processes of a sidecar during an upgrade assume the few answers together.
+func TestProcessesOfASidecarShareWhatIsAssumed(t *testing.T) {
+	budget := func(parts int) float64 {
+		g := newRig(t, baseConfig(), fleet(4)...)
+		g.do(Sharing{Parts: parts})
+		entry := g.b.servers[0].Server
+		entry.StartedAt = g.now
+		g.do(ServerList{Kind: ListDelta, Servers: []Server{entry}})
+		g.now += 2000
+		g.ask(safeClass) // sets the weights
+		s := g.b.servers[0]
+		s.tokens, s.tokensAt = 0, g.now-2000
+		g.b.coldBudget(s)
+		return s.tokens
+	}
+	if one, two := budget(1), budget(2); two > 0.51*one || two == 0 {
+		t.Errorf("%v sends for each of two processes, %v for one", two, one)
+	}
+}
+
 // After a crash two failed connects refused a request although attempts and time were left; what may have
 // run is re-routed once at most.
 func TestWhatNeverRanUsesUpNoReroute(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -19,6 +19,7 @@
 	rng        uint64
 	now        float64
 	started    float64
+	parts      float64 // processes of this sidecar
 	longestAim float64 // of all classes
 	out        []Action
 
@@ -181,7 +182,7 @@
 	b := &Balancer{
 		cfg: cfg, rng: cfg.Seed, byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
 		classes: make([]classStats, len(cfg.Classes)), tenants: make([]tally, len(cfg.Tenants)+1),
-		kinds: map[int]float64{}, zones: map[int]float64{}, longestAim: 1, quickest: startAim, busy: 1,
+		kinds: map[int]float64{}, zones: map[int]float64{}, longestAim: 1, quickest: startAim, busy: 1, parts: 1,
 	}
 	for i := range cfg.Classes {
 		b.longestAim = math.Max(b.longestAim, cfg.Classes[i].Aim)
@@ -262,6 +263,8 @@
 		}
 	case Started:
 		b.onStarted(ev)
+	case Sharing:
+		b.parts = math.Max(1, float64(ev.Parts))
 	}
 	return b.out, err
 }
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -36,6 +36,7 @@
 	connIdle    time.Duration
 	maxOpen     int
 	known       list
+	tempDir     string // shared with the processes before and after this one; empty: none
 }
 
 // defaultSockets holds where the configuration sets no limit.
@@ -106,6 +107,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	cfg.tempDir = getenv("TMPDIR")
 	return cfg, nil
 }
 
--- a/internal/sidecar/figures.go
+++ b/internal/sidecar/figures.go
@@ -22,7 +22,10 @@
 }
 
 // serverFigures is what the loop last published.
-type serverFigures struct{ listed, avoided, ready int }
+type serverFigures struct {
+	listed, avoided, ready int
+	told                   bool // by discovery, since the start
+}
 
 func newFigures(classes []string) *figures {
 	f := &figures{classes: make([]classFigures, len(classes))}
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -45,8 +45,8 @@
 	draining atomic.Bool
 	conns    atomic.Int64
 	taken    atomic.Int64
-	maxConns int64 // from here on connections are not kept
-	maxTaken int64 // requests at a time
+	maxConns atomic.Int64 // from here on connections are not kept
+	maxTaken atomic.Int64 // requests at a time
 
 	peerWait, writeWait time.Duration
 }
@@ -72,7 +72,7 @@
 
 // ServeHTTP answers the ready check and passes requests to the loop.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.draining.Load() || f.conns.Load() >= f.maxConns {
+	if f.draining.Load() || f.conns.Load() >= f.maxConns.Load() {
 		w.Header().Set("Connection", "close") // between requests only: this one is answered first
 	}
 	if c, ok := r.Context().Value(connKey{}).(*headConn); ok {
@@ -104,7 +104,7 @@
 	}
 	// Bounds what is open together with goroutines and connections to servers. Nothing has been sent, so a
 	// refusal is true.
-	if f.taken.Add(1) > f.maxTaken {
+	if f.taken.Add(1) > f.maxTaken.Load() {
 		f.taken.Add(-1)
 		f.figures.count(c.ev.Class, statusRefused)
 		write(w, answer{status: statusRefused})
--- a/internal/sidecar/frontend_test.go
+++ b/internal/sidecar/frontend_test.go
@@ -182,7 +182,9 @@
 		t.Fatal(err)
 	}
 	posted := make(chan any, 4)
-	f := &frontend{cfg: cfg, figures: newFigures(cfg.classNames), post: func(ev any) { posted <- ev }, maxConns: 10, maxTaken: 10, writeWait: patience}
+	f := &frontend{cfg: cfg, figures: newFigures(cfg.classNames), post: func(ev any) { posted <- ev }, writeWait: patience}
+	f.maxConns.Store(10)
+	f.maxTaken.Store(10)
 	srv := httptest.NewServer(f)
 	defer srv.Close()
 	req, err := http.NewRequest("GET", srv.URL+apiPath, nil)
--- /dev/null
+++ b/internal/sidecar/handover.go
@@ -0,0 +1,223 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// At an upgrade the platform starts a second process beside this one. The two meet at a Unix socket in the
+// directory that they share. The older one gives the other its listening socket, so that what waits there is
+// never lost with a process; the newer one says when it serves. While their connection lasts, both are alive
+// and share what one of them may use.
+
+const (
+	meetWait  = time.Second // for the older process to answer: it may hang, or not be one of ours
+	servesNow = 's'         // the newer one's word that it takes requests
+	// listWait is how long the newer process waits for discovery when it knows a list that may be old: the other
+	// one serves meanwhile.
+	listWait = 1500 * time.Millisecond
+)
+
+// meetingPlace is where two processes for the same address meet; empty: they cannot. Without a management
+// address nobody upgrades, and an address of the system's choice is never the same.
+func (cfg *Config) meetingPlace() string {
+	_, port, err := net.SplitHostPort(cfg.Listen)
+	if cfg.Management == "" || cfg.tempDir == "" || err != nil || port == "0" {
+		return ""
+	}
+	h := fnv.New64a()
+	io.WriteString(h, cfg.Listen)
+	return filepath.Join(cfg.tempDir, fmt.Sprintf("serving-%016x", h.Sum64()))
+}
+
+// listen binds the clients' address so that a process without a predecessor to ask can share it too.
+func listen(cfg *Config) (net.Listener, error) {
+	var lc net.ListenConfig
+	if cfg.Management != "" {
+		lc.Control = func(_, _ string, c syscall.RawConn) error {
+			var failed error
+			err := c.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+			})
+			return errors.Join(err, failed)
+		}
+	}
+	return lc.Listen(context.Background(), "tcp", cfg.Listen)
+}
+
+// predecessor is the process that served before this one, as long as it lives; nil: there is none.
+type predecessor struct{ conn *net.UnixConn }
+
+// meet asks the process that serves the address, if any, for its listening socket. What is left of one that is
+// gone, or is no socket at all, is nobody.
+func meet(cfg *Config) (*predecessor, net.Listener, error) {
+	place := cfg.meetingPlace()
+	if place == "" {
+		return nil, nil, nil
+	}
+	if _, err := os.Lstat(place); errors.Is(err, os.ErrNotExist) {
+		return nil, nil, nil
+	}
+	c, err := net.DialTimeout("unix", place, meetWait)
+	if err != nil {
+		return nil, nil, fmt.Errorf("nobody there: %w", err)
+	}
+	p := &predecessor{conn: c.(*net.UnixConn)}
+	l, err := p.take()
+	if err == nil && l.Addr().String() != cfg.Listen {
+		l.Close()
+		l, err = nil, fmt.Errorf("it listens at another address: %s", l.Addr())
+	}
+	if err != nil {
+		c.Close()
+		return nil, nil, err
+	}
+	return p, l, nil
+}
+
+func (p *predecessor) take() (net.Listener, error) {
+	p.conn.SetReadDeadline(time.Now().Add(meetWait))
+	defer p.conn.SetReadDeadline(time.Time{})
+	buf, rights := make([]byte, 1), make([]byte, unix.CmsgSpace(4))
+	_, n, _, _, err := p.conn.ReadMsgUnix(buf, rights)
+	if err != nil {
+		return nil, err
+	}
+	messages, err := unix.ParseSocketControlMessage(rights[:n])
+	if err != nil || len(messages) != 1 {
+		return nil, errors.Join(errors.New("no listening socket came"), err)
+	}
+	fds, err := unix.ParseUnixRights(&messages[0])
+	if err != nil || len(fds) != 1 {
+		return nil, errors.Join(errors.New("no listening socket came"), err)
+	}
+	unix.CloseOnExec(fds[0])
+	f := os.NewFile(uintptr(fds[0]), "listener")
+	defer f.Close() // the listener has one of its own
+	return net.FileListener(f)
+}
+
+// serves tells the predecessor that it may go.
+func (p *predecessor) serves() {
+	if _, err := p.conn.Write([]byte{servesNow}); err != nil {
+		slog.Info("upgrade: the process before is gone", "error", err)
+	}
+}
+
+// gone waits for its end.
+func (p *predecessor) gone() { io.Copy(io.Discard, p.conn) }
+
+// successors lets newer processes meet this one.
+type successors struct {
+	give     *net.TCPListener
+	changed  func(alive int) // how many there are now
+	serve    atomic.Int64    // those that serve
+	listener *net.UnixListener
+
+	ended  sync.WaitGroup
+	mu     sync.Mutex
+	closed bool
+	conns  map[net.Conn]struct{}
+}
+
+// await takes the meeting place over from whoever was there, and waits for newer processes.
+func (s *successors) await(place string) error {
+	// Bound under a name of its own first: at the place there is always somebody or nobody, never half.
+	fresh := fmt.Sprintf("%s.%d", place, os.Getpid())
+	os.Remove(fresh)
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: fresh, Net: "unix"})
+	if err != nil {
+		return err
+	}
+	l.SetUnlinkOnClose(false) // by then the place may be the next one's
+	if err := os.Rename(fresh, place); err != nil {
+		l.Close()
+		os.Remove(fresh)
+		return err
+	}
+	s.listener, s.conns = l, map[net.Conn]struct{}{}
+	s.ended.Go(func() {
+		for {
+			c, err := l.AcceptUnix()
+			if err != nil {
+				return
+			}
+			if s.add(c) {
+				s.ended.Go(func() { s.follow(c) })
+			}
+		}
+	})
+	return nil
+}
+
+func (s *successors) add(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		c.Close()
+		return false
+	}
+	s.conns[c] = struct{}{}
+	s.changed(len(s.conns))
+	return true
+}
+
+// follow gives the listening socket to a newer process and stays with it to its end.
+func (s *successors) follow(c *net.UnixConn) {
+	if err := s.hand(c); err != nil {
+		slog.Warn("upgrade: the listening socket was not handed over", "error", err)
+	} else {
+		var word [1]byte
+		if _, err := io.ReadFull(c, word[:]); err == nil && word[0] == servesNow {
+			slog.Info("upgrade: the next process serves")
+			s.serve.Add(1)
+			io.Copy(io.Discard, c)
+			s.serve.Add(-1)
+		}
+	}
+	c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	if !s.closed {
+		s.changed(len(s.conns))
+	}
+}
+
+func (s *successors) hand(c *net.UnixConn) error {
+	raw, err := s.give.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	// Within Control: a descriptor of its own, made for this, would turn the socket to blocking.
+	err = raw.Control(func(fd uintptr) {
+		_, _, failed = c.WriteMsgUnix([]byte{servesNow}, unix.UnixRights(int(fd)), nil)
+	})
+	return errors.Join(err, failed)
+}
+
+// close ends the meetings: to a newer process this one is gone.
+func (s *successors) close() {
+	s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.ended.Wait()
+}
--- /dev/null
+++ b/internal/sidecar/handover_test.go
@@ -0,0 +1,228 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// upgradable is a configuration whose address two processes can share. The port is the system's choice and held
+// for the test by a socket that does not listen.
+func upgradable(t *testing.T, discovery string, known ...target) conf {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(fd) })
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	addr, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := managed(newConf(discovery, known...))
+	c["listen"] = fmt.Sprintf("127.0.0.1:%d", addr.(*unix.SockaddrInet4).Port)
+	c["TMPDIR"] = t.TempDir()
+	return c
+}
+
+func (r *running) healthy(t *testing.T) bool {
+	status, _ := r.manage(t, "GET", healthPath)
+	return status == 200
+}
+
+func (r *running) end(t *testing.T) {
+	t.Helper()
+	r.term()
+	err := receive(t, "the end", r.ended)
+	if err != nil {
+		t.Error(err)
+	}
+	r.ended <- nil
+}
+
+// While one process follows the other, each request on a connection of its own and on kept ones is served.
+func TestUpgradeTurnsNobodyBack(t *testing.T) {
+	b := newBackend(t, "a", ok)
+	c := upgradable(t, newRegistry(t).addr(), b.target)
+	quick := func(s *Sidecar) { s.drainAccept, s.listWait = 50*time.Millisecond, 0 }
+	old := start(t, c, quick)
+	until(t, "the first process", func() bool { return old.healthy(t) })
+
+	stop := make(chan struct{})
+	var served atomic.Int64
+	var clients sync.WaitGroup
+	for i := range 4 {
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: i%2 == 0}, Timeout: patience}
+		clients.Go(func() {
+			defer client.CloseIdleConnections()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				resp, err := client.Do(old.request("charge", time.Second))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				resp.Body.Close()
+				if resp.StatusCode != 200 {
+					t.Error(resp.Status)
+				}
+				served.Add(1)
+			}
+		})
+	}
+	process := old
+	for range 3 { // each is the old one of the next
+		next := start(t, c, quick)
+		until(t, "the next process", func() bool { return next.healthy(t) })
+		until(t, "its word", func() bool { return process.after.serve.Load() == 1 })
+		if got, want := process.listener.bound(), process.budget.clients/2; got != want {
+			t.Errorf("the older process may hold %d clients, want %d", got, want)
+		}
+		if got, want := next.frontend.maxTaken.Load(), int64(next.budget.taken/2); got != want {
+			t.Errorf("the newer process may take %d requests, want %d", got, want)
+		}
+		process.end(t)
+		until(t, "all of the limits for the newer process", func() bool {
+			return next.listener.bound() == next.budget.clients
+		})
+		before := served.Load()
+		until(t, "requests to go on", func() bool { return served.Load() > before+10 })
+		process = next
+	}
+	close(stop)
+	clients.Wait()
+}
+
+// Connections that wait to be accepted when the process ends are the next one's.
+func TestWhatWaitsIsHandedOver(t *testing.T) {
+	b := newBackend(t, "a", ok)
+	c := upgradable(t, newRegistry(t).addr(), b.target)
+	deaf := func(s *Sidecar) { // it accepts nobody
+		s.drainAccept = 0
+		s.listener.Listener = refuser{s.listener.Listener, new(sync.Once), make(chan struct{})}
+	}
+	old := start(t, c, deaf)
+	until(t, "the first process", func() bool { return old.healthy(t) })
+	var waiting []net.Conn
+	for range 10 {
+		conn, err := net.Dial("tcp", old.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(patience))
+		if err := old.request("charge", 5*time.Second).Write(conn); err != nil {
+			t.Fatal(err)
+		}
+		waiting = append(waiting, conn)
+	}
+	next := start(t, c, func(s *Sidecar) { s.listWait = 0 })
+	until(t, "its word", func() bool { return old.after.serve.Load() == 1 })
+	old.end(t)
+	for _, conn := range waiting {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode != 200 {
+			t.Error(resp.Status)
+		}
+	}
+	until(t, "all of the limits", func() bool { return next.listener.bound() == next.budget.clients })
+}
+
+// refuser is a listener whose accept only ends with it.
+type refuser struct {
+	net.Listener
+	closed *sync.Once
+	end    chan struct{}
+}
+
+func (r refuser) Accept() (net.Conn, error) {
+	<-r.end
+	return nil, net.ErrClosed
+}
+
+func (r refuser) Close() error {
+	r.closed.Do(func() { close(r.end) })
+	return r.Listener.Close()
+}
+
+// A process that ends before it serves leaves the older one as it was.
+func TestNextProcessThatDoesNotCome(t *testing.T) {
+	b := newBackend(t, "a", ok)
+	c := upgradable(t, newRegistry(t).addr(), b.target)
+	old := start(t, c)
+	until(t, "the process", func() bool { return old.healthy(t) })
+	cfg, err := c.load(t)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, l, err := meet(cfg)
+	if err != nil || p == nil {
+		t.Fatal(p, err)
+	}
+	until(t, "limits to be shared", func() bool { return old.listener.bound() == old.budget.clients/2 })
+	l.Close()
+	p.conn.Close()
+	until(t, "limits to be whole again", func() bool { return old.listener.bound() == old.budget.clients })
+	if got := old.do(old.request("charge", time.Second)); got.status != 200 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// What lies at the meeting place may be left by a process that is gone, or by anybody else.
+func TestStaleMeetingPlace(t *testing.T) {
+	for name, leave := range map[string]func(place string) error{
+		"a dead process's socket": func(place string) error {
+			l, err := net.ListenUnix("unix", &net.UnixAddr{Name: place, Net: "unix"})
+			if err != nil {
+				return err
+			}
+			l.SetUnlinkOnClose(false)
+			return l.Close()
+		},
+		"a file":      func(place string) error { return os.WriteFile(place, []byte("stale"), 0o600) },
+		"a directory": func(place string) error { return os.MkdirAll(filepath.Join(place, "stale"), 0o700) },
+		"nothing":     func(string) error { return nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, "a", ok)
+			c := upgradable(t, newRegistry(t).addr(), b.target)
+			cfg, err := c.load(t)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := leave(cfg.meetingPlace()); err != nil {
+				t.Fatal(err)
+			}
+			s := start(t, c)
+			until(t, "the process", func() bool { return s.healthy(t) })
+			if got := s.do(s.request("charge", time.Second)); got.status != 200 {
+				t.Errorf("%+v", got)
+			}
+			if got := s.listener.bound(); got != s.budget.clients {
+				t.Errorf("it holds %d clients, want %d", got, s.budget.clients)
+			}
+		})
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -127,6 +127,7 @@
 	servers   map[balance.ServerID]*upstream // those that are ready
 	timers    timers
 	timersRan float64 // when timers last woke the loop
+	told      bool    // discovery has sent a list
 }
 
 func newLoop(cfg *Config, bal *balance.Balancer, ups *upstreams) *loop {
@@ -190,7 +191,7 @@
 // publish leaves what the module knows of the servers where the management address reads it.
 func (l *loop) publish(now float64) {
 	listed, avoided := l.bal.Avoided(now)
-	l.figures.servers.Store(&serverFigures{listed: listed, avoided: avoided, ready: len(l.servers)})
+	l.figures.servers.Store(&serverFigures{listed: listed, avoided: avoided, ready: len(l.servers), told: l.told})
 }
 
 // fire delivers the timers that are due; one that is set meanwhile waits for the next batch.
@@ -225,6 +226,8 @@
 		})
 	case news:
 		l.takeNews(now, ev)
+	case balance.Sharing:
+		l.tell(now, ev)
 	}
 }
 
@@ -267,6 +270,7 @@
 		l.tell(now, balance.ServerList{Kind: n.kind})
 		return
 	}
+	l.told = l.told || n.kind != balance.ListCached
 	l.disc.rev.Store(n.list.Rev)
 	entries := make([]balance.Server, 0, len(n.list.Targets))
 	listed := make(map[balance.ServerID]bool, len(n.list.Targets))
--- a/internal/sidecar/management.go
+++ b/internal/sidecar/management.go
@@ -52,6 +52,8 @@
 	switch {
 	case s.frontend.draining.Load():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
+	case !s.serving.Load():
+		http.Error(w, "not serving yet", http.StatusServiceUnavailable)
 	case s.loop.figures.servers.Load().ready == 0:
 		http.Error(w, "no server is known to be ready", http.StatusServiceUnavailable)
 	default:
--- a/internal/sidecar/room.go
+++ b/internal/sidecar/room.go
@@ -54,28 +54,29 @@
 		return nil, err
 	}
 	g := &guest{Conn: c, room: r, since: time.Now()}
-	if !r.enter(g) {
-		c.Close()
-		return nil, net.ErrClosed
-	}
+	r.enter(g)
 	return g, nil
 }
 
 // enter waits until there is a place, or the listener is closed.
-func (r *room) enter(g *guest) bool {
+func (r *room) enter(g *guest) {
 	for {
 		victim, wait := r.place(g)
 		switch {
 		case victim != nil:
 			victim.Close()
 		case wait == 0:
-			return true
+			return
 		default:
 			select {
 			case <-r.left:
 			case <-time.After(wait):
 			case <-r.closed:
-				return false
+				// It came before the end and knows nothing of it: one more is let in.
+				r.mu.Lock()
+				r.guests[g] = struct{}{}
+				r.mu.Unlock()
+				return
 			}
 		}
 	}
@@ -106,20 +107,27 @@
 	return victim, shedAfter
 }
 
-// order tells who goes first: who never said a word, connections idle for long, who stopped in the middle.
+// Who makes room, the first first.
+const (
+	silent   = iota // never said a word
+	idleLong        // kept, and without a request for long
+	halfSent        // stopped in the middle
+	idle            // kept
+)
+
 func (g *guest) order(now time.Time) (order int, last time.Time) {
 	if at := g.heard.Load(); at != 0 {
 		if last := epoch.Add(time.Duration(at)); last.After(g.since) {
-			return 2, last
+			return halfSent, last
 		}
 	}
 	switch {
 	case !g.kept:
-		return 0, g.since
+		return silent, g.since
 	case now.Sub(g.since) >= keptAfter:
-		return 1, g.since
+		return idleLong, g.since
 	default:
-		return 3, g.since
+		return idle, g.since
 	}
 }
 
@@ -131,6 +139,30 @@
 	r.hint()
 }
 
+// count is how many are in the room.
+func (r *room) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.guests)
+}
+
+// closeIdle closes the connections on which nothing was sent since their last request.
+func (r *room) closeIdle() {
+	r.mu.Lock()
+	var waiting []*guest
+	for g := range r.guests {
+		if order, _ := g.order(time.Now()); !g.busy && order != halfSent {
+			waiting = append(waiting, g)
+		}
+	}
+	r.mu.Unlock()
+	for _, g := range waiting {
+		if _, unread := peek(g.Conn); !unread {
+			g.Close()
+		}
+	}
+}
+
 func (r *room) hint() {
 	select {
 	case r.left <- struct{}{}:
--- a/internal/sidecar/room_test.go
+++ b/internal/sidecar/room_test.go
@@ -83,3 +83,9 @@
 		t.Error("a connection was taken after the end")
 	}
 }
+
+func (r *room) bound() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.most
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"bayhaven/balance"
@@ -30,20 +32,35 @@
 	// drainAccept is how long connections are taken after SIGTERM: new ones come for up to 0.4 s.
 	drainAccept = 500 * time.Millisecond
 	drainSlack  = 100 * time.Millisecond
-	reapEvery   = time.Second
+	drainStep   = 5 * time.Millisecond
+	// longestDrain is how much of a longer deadline counts at the end of a process.
+	longestDrain = 3 * time.Second
+	reapEvery    = time.Second
 )
 
 // Sidecar is one running sidecar.
 type Sidecar struct {
 	cfg      *Config
+	tcp      *net.TCPListener
 	listener *room
 	manager  *room // nil: no management address
 	loop     *loop
 	frontend *frontend
+	before   *predecessor // nil: none
+	after    successors
 
+	serving     atomic.Bool
 	drainAccept time.Duration
+	listWait    time.Duration
+
+	sharing      sync.Mutex
+	older, newer int // processes of this sidecar beside this one
+	budget       budget
 }
 
+// budget is what all processes of a sidecar may use together.
+type budget struct{ manage, clients, servers, taken int }
+
 // New prepares a sidecar and binds its address.
 func New(cfg *Config) (*Sidecar, error) {
 	bal, err := balance.New(cfg.balance)
@@ -57,44 +74,99 @@
 		if err != nil {
 			return nil, fmt.Errorf("management: %w", err)
 		}
-		manager = newRoom(listener, int(float64(reserve)*manageShare))
+		manager = newRoom(listener, 1)
 	}
-	listener, err := net.Listen("tcp", cfg.Listen)
+	before, listener, err := meet(cfg)
 	if err != nil {
-		if manager != nil {
-			manager.Close()
+		slog.Info("upgrade: no process before this one", "error", err)
+	}
+	if listener == nil {
+		if listener, err = listen(cfg); err != nil {
+			if manager != nil {
+				manager.Close()
+			}
+			return nil, fmt.Errorf("listen: %w", err)
 		}
-		return nil, fmt.Errorf("listen: %w", err)
 	}
 	free := cfg.Sockets - reserve
-	clients := int(float64(free) * clientShare)
-	servers := free - clients
-	l := newLoop(cfg, bal, newUpstreams(cfg, servers))
-	l.disc = newDiscovery(cfg.Discovery, l.post, func(f func()) { l.workers.Go(f) })
-	maxTaken := servers
+	all := budget{manage: int(float64(reserve) * manageShare), clients: int(float64(free) * clientShare)}
+	all.servers = free - all.clients
+	all.taken = all.servers
 	if cfg.maxOpen > 0 {
-		maxTaken = min(maxTaken, cfg.maxOpen)
+		all.taken = min(all.taken, cfg.maxOpen)
 	}
-	return &Sidecar{
-		cfg: cfg, listener: newRoom(listener, clients), manager: manager, loop: l, drainAccept: drainAccept,
+	l := newLoop(cfg, bal, newUpstreams(cfg, all.servers))
+	l.disc = newDiscovery(cfg.Discovery, l.post, func(f func()) { l.workers.Go(f) })
+	s := &Sidecar{
+		cfg: cfg, tcp: listener.(*net.TCPListener), listener: newRoom(listener, all.clients), manager: manager, loop: l,
+		before: before, budget: all, drainAccept: drainAccept, listWait: listWait,
 		frontend: &frontend{
-			cfg: cfg, post: l.post, figures: l.figures, maxConns: int64(float64(clients) * keepShare), maxTaken: int64(maxTaken),
-			peerWait: peerWait, writeWait: writeWait,
+			cfg: cfg, post: l.post, figures: l.figures, peerWait: peerWait, writeWait: writeWait,
 		},
-	}, nil
+	}
+	s.after = successors{give: s.tcp, changed: func(alive int) { s.beside(&s.newer, alive) }}
+	if before != nil {
+		s.older = 1
+	}
+	s.share()
+	return s, nil
+}
+
+// share divides what this sidecar may use among its processes.
+func (s *Sidecar) share() {
+	parts := 1 + s.older + s.newer
+	if s.older+s.newer > 0 {
+		slog.Info("upgrade: this sidecar shares its limits", "processes", parts)
+	}
+	if s.manager != nil {
+		s.manager.setMost(max(s.budget.manage/parts, 1))
+	}
+	clients := s.budget.clients / parts
+	s.listener.setMost(clients)
+	s.frontend.maxConns.Store(int64(float64(clients) * keepShare))
+	s.frontend.maxTaken.Store(int64(max(s.budget.taken/parts, 1)))
+	s.loop.ups.setMost(s.budget.servers / parts)
+	s.loop.post(balance.Sharing{Parts: parts})
+	limitMemory(s.cfg, parts)
+}
+
+// beside takes in how many older or newer processes are alive beside this one.
+func (s *Sidecar) beside(which *int, alive int) {
+	s.sharing.Lock()
+	defer s.sharing.Unlock()
+	*which = alive
+	s.share()
 }
 
 // Limit tells the runtime what the configuration allows this process.
 func Limit(cfg *Config) {
 	debug.SetGCPercent(gcPercent)
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * (1 << 20)))
-	}
+	debug.SetMemoryLimit(cfg.memory(1))
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	}
 }
 
+// memory is the part of the limit that the runtime of each of so many processes is held to.
+func (cfg *Config) memory(parts int) int64 {
+	if cfg.MemoryMB == 0 {
+		return math.MaxInt64
+	}
+	return int64(float64(cfg.MemoryMB) * memoryShare * (1 << 20) / float64(parts))
+}
+
+// limitMemory holds to a part what Limit has limited.
+func limitMemory(cfg *Config, parts int) {
+	before := debug.SetMemoryLimit(-1)
+	if before == math.MaxInt64 || before == cfg.memory(parts) {
+		return
+	}
+	debug.SetMemoryLimit(cfg.memory(parts))
+	if parts > 1 {
+		debug.FreeOSMemory()
+	}
+}
+
 // ManagementAddr is the address for the platform; empty: there is none.
 func (s *Sidecar) ManagementAddr() string {
 	if s.manager == nil {
@@ -157,9 +229,32 @@
 		go func() { failed <- manager.Serve(s.manager) }()
 		defer manager.Close()
 	}
+	var meetings sync.WaitGroup
+	defer meetings.Wait()
+	if s.before != nil {
+		gone := make(chan struct{})
+		meetings.Go(func() {
+			s.before.gone()
+			close(gone)
+			s.beside(&s.older, 0)
+		})
+		defer s.before.conn.Close()
+		s.prepare(ctx, gone)
+	}
 	srv := s.frontend.server()
 	go func() { failed <- srv.Serve(headListener{s.listener}) }()
+	s.serving.Store(true)
 	slog.Info("ready", "name", s.cfg.Name, "management", s.ManagementAddr(), "listen", s.Addr())
+	if s.before != nil {
+		s.before.serves()
+	}
+	if place := s.cfg.meetingPlace(); place != "" {
+		if err := s.after.await(place); err != nil {
+			slog.Warn("upgrade: a newer process cannot meet this one", "error", err)
+		} else {
+			defer s.after.close()
+		}
+	}
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
@@ -168,24 +263,51 @@
 	return s.drain(srv)
 }
 
-// drain keeps taking requests for as long as clients may not know, answering each with the end of its
-// connection, then waits for those that are open.
+// prepare waits until this process is fit to take over: it knows servers, from discovery or, after a while,
+// from the list it was started with. The process before serves meanwhile.
+func (s *Sidecar) prepare(ctx context.Context, gone <-chan struct{}) {
+	began := time.Now()
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		servers := s.loop.figures.servers.Load()
+		if servers.ready > 0 && (servers.told || time.Since(began) >= s.listWait) {
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-gone:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// drain ends the service. Where a newer process serves, what comes is its own at once; otherwise new connections
+// are taken for as long as clients may not know. Each answer ends its connection; those that stay without a
+// request are closed last, as nobody is turned back by that.
 func (s *Sidecar) drain(srv *http.Server) error {
 	slog.Info("draining")
+	began := time.Now()
 	s.frontend.draining.Store(true)
-	time.Sleep(s.drainAccept)
+	if s.after.serve.Load() == 0 {
+		time.Sleep(s.drainAccept)
+	}
+	s.listener.Close()
 	longest := 0.0
 	for i := range s.cfg.balance.Classes {
 		longest = math.Max(longest, s.cfg.balance.Classes[i].Deadline)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), millis(longest+s.cfg.balance.AnswerSlack)+drainSlack)
-	defer cancel()
-	err := srv.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		// What is left is past its deadline or has never sent a request.
-		err = srv.Close()
+	end := began.Add(s.drainAccept + min(millis(longest), longestDrain) + millis(s.cfg.balance.AnswerSlack) + drainSlack)
+	for time.Now().Before(end) && s.listener.count() > 0 {
+		if time.Since(began) >= s.drainAccept {
+			s.listener.closeIdle()
+		}
+		time.Sleep(drainStep)
 	}
-	if err != nil {
+	// What is left is past its deadline or has never sent a request.
+	if err := srv.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("drain: %w", err)
 	}
 	slog.Info("drained")
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -79,8 +79,12 @@
 func (c conf) load(t *testing.T) (*Config, error) {
 	path := c.write(t)
 	return LoadConfig(func(name string) string {
-		if name == "NODE_CONFIG" {
+		switch name {
+		case "NODE_CONFIG":
 			return path
+		case "TMPDIR":
+			dir, _ := c["TMPDIR"].(string)
+			return dir
 		}
 		return ""
 	})
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -356,18 +356,27 @@
 	if c.in.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	open, unread := peek(c.Conn)
+	return open && !unread
+}
+
+// peek tells whether a connection is open, and whether it holds what nobody has read yet.
+func peek(c net.Conn) (open, unread bool) {
+	tcp, ok := c.(syscall.Conn)
+	if !ok {
+		return false, false
+	}
+	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	var peek [1]byte
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
-		return true
+	// Control, as a reader may be waiting on the connection.
+	raw.Control(func(fd uintptr) {
+		var first [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open, unread = err == syscall.EAGAIN || n > 0, n > 0
 	})
-	return err == nil && open
+	return open, unread
 }
 
 func (p *upstreams) takeIdle(up *upstream) *upConn {
@@ -396,6 +405,15 @@
 	return true
 }
 
+// setMost changes the bound. Idle connections over it go at once.
+func (p *upstreams) setMost(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+	for p.open > p.most && p.evict() {
+	}
+}
+
 func (p *upstreams) release() {
 	p.mu.Lock()
 	p.open--
