--- a/balance/api.go
+++ b/balance/api.go
@@ -161,6 +161,15 @@
 	Remaining     float64 // time until the client gives this try up
 	Repeat        bool    // the client says that it tried before
 	Write         bool
+	// Open: the body is still coming and is passed on as it comes. Until Complete tells that it is whole, no time
+	// of the client's passes, and no server's.
+	Open bool
+}
+
+// Complete says that an open request's last byte was passed on. Its time counts from now.
+type Complete struct {
+	Request   RequestID
+	Remaining float64
 }
 
 // Result is how an attempt or a probe ended.
@@ -193,9 +202,11 @@
 	Took     float64
 	Finished bool      // the request needs no answer (any more)
 	Report   []float32 // load report, empty if none; not kept
+	Spent    bool      // the request's body is used up: it cannot be sent again
 }
 
-// Started says that a streamed answer has begun; the client owns the attempt now.
+// Started says that a streamed answer has begun; the client owns the attempt now. The attempt's Outcome follows
+// when the answer has ended.
 type Started struct {
 	Request RequestID
 	Attempt int
@@ -236,6 +247,7 @@
 func (ProbeResult) event() {}
 func (Message) event()     {}
 func (Sharing) event()     {}
+func (Complete) event()    {}
 
 // ActionKind says what to do.
 type ActionKind uint8
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -225,7 +225,7 @@
 		}
 	}
 	// What never ran uses up no re-route: after a crash two failed connects refused a request.
-	spent := len(r.tries) >= b.cfg.MaxAttempts || ran > maxRepeats
+	spent := r.spent || len(r.tries) >= b.cfg.MaxAttempts || ran > maxRepeats
 	return spent || b.now >= r.arrived+r.class.Aim && b.refusable(r)
 }
 
@@ -489,10 +489,19 @@
 	}
 	a := &r.tries[ev.Attempt]
 	a.live, a.clean = false, ev.Result.NeverRan()
-	a.s.inFlight--
-	b.expire(r, a)
 	r.live--
-	b.judge(r, a, ev)
+	r.spent = r.spent || ev.Spent
+	if r.Open { // what is sent next has all of its time
+		r.restart(b.now, r.Remaining)
+	}
+	switch {
+	case !a.started:
+		a.s.inFlight--
+		b.expire(r, a)
+		b.judge(r, a, ev)
+	case ev.Result != OK && ev.Result != Cancelled && ev.Result != Moot: // it broke off
+		b.fault(a.s, false)
+	}
 	if r.done || ev.Finished || r.stream {
 		b.close(r)
 	}
@@ -500,6 +509,39 @@
 	return nil
 }
 
+// onComplete: the server may begin, and all times count from now.
+func (b *Balancer) onComplete(ev Complete) {
+	r := b.reqs[ev.Request]
+	if r == nil || r.done || !r.Open {
+		return
+	}
+	r.Open = false
+	r.restart(b.now, ev.Remaining)
+	for i := range r.tries {
+		if a := &r.tries[i]; a.live {
+			a.sent, a.late = b.now, false
+			b.count(1/r.class.Aim, b.pace(fewAnswers))
+		}
+	}
+	b.step(r)
+}
+
+// onStarted: the client owns the answer now: no deadline, no repeat. The server has done its work; how
+// long the rest takes is the client's matter too.
+func (b *Balancer) onStarted(ev Started) {
+	r := b.reqs[ev.Request]
+	if r == nil || r.done || r.stream || ev.Attempt >= len(r.tries) || !r.tries[ev.Attempt].live {
+		return
+	}
+	r.stream = true
+	b.cancelOthers(r, ev.Attempt)
+	a := &r.tries[ev.Attempt]
+	a.started = true
+	a.s.inFlight--
+	b.expire(r, a)
+	b.judge(r, a, Outcome{Result: OK, Took: ev.Took})
+}
+
 func (b *Balancer) judge(r *request, a *attempt, ev Outcome) {
 	s := a.s
 	switch ev.Result {
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -312,6 +312,9 @@
 	id, acts := g.ask(safeClass)
 	s, _ := sentTo(acts)
 	g.do(Started{Request: id, Server: s, Took: 20})
+	if a := g.b.reqs[id].tries[0]; a.s.inFlight != 0 || g.b.classes[safeClass].mean != 20 {
+		t.Errorf("the server holds %d, answers take %v", a.s.inFlight, g.b.classes[safeClass].mean)
+	}
 	g.now += 5000
 	if acts := g.do(Timer{Token: uint64(id)}); has(acts, Fail) || has(acts, Refuse) || has(acts, Send) {
 		t.Fatalf("a running stream got %+v", acts)
@@ -320,6 +323,50 @@
 	if len(g.b.reqs) != 0 {
 		t.Fatal("an ended stream is remembered")
 	}
+	if server := g.b.byID[s]; server.errs != 1 || server.inFlight != 0 {
+		t.Errorf("after a break: %d errors, %d held", server.errs, server.inFlight)
+	}
+}
+
+// While a body comes no time passes, for the request or its server; from its last byte on both count.
+func TestOpenRequestsTimeBeginsWithItsLastByte(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(3)...)
+	g.next++
+	id := g.next
+	g.do(Request{ID: id, Class: unsafeClass, Remaining: 600, Open: true})
+	r := g.b.reqs[id]
+	if len(r.tries) != 1 {
+		t.Fatal("it is not sent at once")
+	}
+	g.now += 60000
+	if acts := g.do(Timer{Token: uint64(id)}); len(acts) > 0 || r.tries[0].s.errs > 0 || g.b.open > 0 {
+		t.Fatalf("while its body comes: %+v, %d errors, load %v", acts, r.tries[0].s.errs, g.b.open)
+	}
+	if acts := g.do(Complete{Request: id, Remaining: 600}); !has(acts, SetTimer) || g.b.open == 0 {
+		t.Fatalf("at its last byte: %+v, load %v", acts, g.b.open)
+	}
+	g.now += 601
+	if acts := g.do(Timer{Token: uint64(id)}); !has(acts, Fail) {
+		t.Errorf("at its deadline: %+v", acts)
+	}
+	g.answer(id, 0, Cancelled, 601)
+	if g.b.open != 0 {
+		t.Errorf("load %v is left", g.b.open)
+	}
+}
+
+// What never ran is sent again only while its body is held.
+func TestSpentBodyIsNotSentAgain(t *testing.T) {
+	for _, spent := range []bool{false, true} {
+		g := newRig(t, baseConfig(), fleet(3)...)
+		g.next++
+		g.do(Request{ID: g.next, Class: unsafeClass, Remaining: 600, Open: true})
+		s := g.b.reqs[g.next].tries[0].s.ID
+		acts := g.do(Outcome{Request: g.next, Server: s, Result: Full, Took: 5, Spent: spent})
+		if has(acts, Send) == spent || has(acts, Refuse) != spent {
+			t.Errorf("spent %v: %+v", spent, acts)
+		}
+	}
 }
 
 // Failed list calls keep the old list and are made again, ever later, within the limit.
--- a/balance/state.go
+++ b/balance/state.go
@@ -85,7 +85,8 @@
 	clean   bool // proved never to have run
 	overdue bool
 	cut     bool // given up at the aim
-	late    bool // no longer counted in the load
+	late    bool // not counted in the load, or no longer
+	started bool // its answer has begun
 }
 
 type request struct {
@@ -98,7 +99,8 @@
 	tries     []attempt
 	live      int
 	done      bool
-	stream    bool
+	stream    bool      // its answer has begun
+	spent     bool      // it cannot be sent again
 	wakeAt    float64   // when its next timer comes
 	probed    []*server // asked before the first send
 	holdUntil float64
@@ -263,6 +265,8 @@
 		}
 	case Started:
 		b.onStarted(ev)
+	case Complete:
+		b.onComplete(ev)
 	case Sharing:
 		b.parts = math.Max(1, float64(ev.Parts))
 	}
@@ -298,13 +302,6 @@
 	}
 }
 
-func (b *Balancer) onStarted(ev Started) {
-	if r := b.reqs[ev.Request]; r != nil && !r.done && !r.stream {
-		r.stream = true // the client owns it now: no deadline, no repeat
-		b.cancelOthers(r, ev.Attempt)
-	}
-}
-
 func (b *Balancer) cancelOthers(r *request, keep int) {
 	for i := range r.tries {
 		if r.tries[i].live && i != keep && b.cfg.Cancel {
@@ -398,17 +395,26 @@
 	}
 }
 
-// send makes an attempt and counts it; one that is cut ends with the request's aim.
+// send makes an attempt and counts it; one that is cut ends with the request's aim. While the body is open
+// neither time nor load counts.
 func (b *Balancer) send(r *request, s *server, cut bool) {
 	s.tokens--
 	s.inFlight++
 	s.sentSince++
-	b.count(1/r.class.Aim, b.pace(fewAnswers))
 	r.live++
-	r.tries = append(r.tries, attempt{s: s, sent: b.now, live: true, cut: cut})
+	a := attempt{s: s, sent: b.now, live: true, cut: cut && !r.Open}
+	if r.Open {
+		a.sent, a.late, r.deadline, r.arrived = math.Inf(1), true, math.Inf(1), math.Inf(1)
+	} else {
+		b.count(1/r.class.Aim, b.pace(fewAnswers))
+	}
+	r.tries = append(r.tries, a)
 	act := Action{Kind: Send, Request: r.ID, Server: s.ID}
-	if cut {
+	if a.cut {
 		act.At = r.arrived + r.class.Aim
 	}
 	b.emit(act)
 }
+
+// restart lets a request's time begin now.
+func (r *request) restart(now, remaining float64) { r.arrived, r.deadline = now, now+remaining }
--- /dev/null
+++ b/internal/sidecar/body_test.go
@@ -0,0 +1,398 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// pattern is a body of so many bytes that no part of is like another.
+func pattern(n int) []byte {
+	b := make([]byte, n)
+	x := uint32(n)
+	for i := range b {
+		x = x*1664525 + 1013904223
+		b[i] = byte(x >> 24)
+	}
+	return b
+}
+
+func sum(b []byte) string {
+	h := fnv.New64a()
+	h.Write(b)
+	return fmt.Sprintf("%d bytes, %x", len(b), h.Sum64())
+}
+
+// rawBackend is a server that does as the test says with each connection from its first byte on.
+func rawBackend(t *testing.T, uid string, serve func(c net.Conn, in *bufio.Reader)) target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ended sync.WaitGroup
+	ended.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			ended.Go(func() {
+				defer c.Close()
+				c.SetDeadline(time.Now().Add(patience))
+				serve(c, bufio.NewReader(c))
+			})
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		ended.Wait()
+	})
+	return ready(uid, l.Addr().String())
+}
+
+// Bodies and answers of all sizes and framings pass unchanged.
+func TestSizes(t *testing.T) {
+	for _, size := range []int{0, 1, holdMost, holdMost + 1, holdMore + 1, maxBody} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d, chunked %v", size, chunked), func(t *testing.T) {
+				want := pattern(size)
+				b := newBackend(t, "a", func(c net.Conn, r *http.Request, body string) bool {
+					if got := sum([]byte(body)); got != sum(want) || (r.ContentLength < 0) != (chunked && size > holdMost) {
+						t.Errorf("the server got %s of length %d", got, r.ContentLength)
+					}
+					resp := http.Response{
+						StatusCode: 200, ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(body)),
+						Body: io.NopCloser(strings.NewReader(body)), Header: http.Header{"Content-Type": {"x/y"}},
+					}
+					if chunked {
+						resp.ContentLength, resp.TransferEncoding = -1, []string{"chunked"}
+					}
+					return resp.Write(c) == nil
+				})
+				s := start(t, newConf(newRegistry(t).addr(), b.target))
+				req := s.request("charge", patience)
+				req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(want)), int64(size)
+				if chunked {
+					req.ContentLength = -1
+				} else if size == 0 {
+					req.Body = http.NoBody
+				}
+				got := s.do(req)
+				if got.status != 200 || sum([]byte(got.body)) != sum(want) || got.header.Get("Content-Type") != "x/y" {
+					t.Errorf("%d, %s", got.status, sum([]byte(got.body)))
+				}
+			})
+		}
+	}
+}
+
+// The client's time counts from its last byte, however long the body takes.
+func TestTimeCountsFromTheLastByte(t *testing.T) {
+	b := newBackend(t, "a", ok)
+	s := start(t, newConf(newRegistry(t).addr(), b.target).
+		setting(`"on_time_ms": 500, "hard_limit_ms": 1000}]`, `"on_time_ms": 50, "hard_limit_ms": 100}]`))
+	in, out := io.Pipe()
+	req := s.request("charge", 100*time.Millisecond)
+	req.Body, req.ContentLength = in, -1
+	done := s.goDo(req)
+	for range 4 {
+		out.Write(make([]byte, holdMost/2))
+		time.Sleep(60 * time.Millisecond) // longer than the deadline, all in all
+	}
+	out.Close()
+	if got := receive(t, "the answer", done); got.status != 200 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// upload writes the head of a request with a body and some of the body.
+func (r *running) upload(t *testing.T, framing, body string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", r.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	_, err = fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: %d\r\nX-Priority-Class: charge\r\n"+
+		"X-Tenant-Id: kita\r\nX-Timeout-Ms: 900\r\n%s\r\n\r\n%s", requestIDs.Add(1), framing, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// A body that is cut short, malformed, too large or never comes reaches no server as a request; the client gets a
+// 4xx or a close.
+func TestBodiesThatAreNotWhole(t *testing.T) {
+	part := strings.Repeat("x", 3*holdMost)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+	for name, test := range map[string]struct {
+		framing, body string
+		end           func(net.Conn)
+		want          int // 0: none
+	}{
+		"cut short":           {"Content-Length: 1000000", part, func(c net.Conn) { c.(*net.TCPConn).CloseWrite() }, 400},
+		"cut short, held":     {"Content-Length: 100", "x", func(c net.Conn) { c.(*net.TCPConn).CloseWrite() }, 400},
+		"chunks cut short":    {"Transfer-Encoding: chunked", chunk, func(c net.Conn) { c.(*net.TCPConn).CloseWrite() }, 400},
+		"gone":                {"Content-Length: 1000000", part, func(c net.Conn) { c.Close() }, 0},
+		"malformed chunk":     {"Transfer-Encoding: chunked", chunk + "no number\r\n", nil, 400},
+		"silent":              {"Content-Length: 1000000", part, nil, 408},
+		"silent, held":        {"Content-Length: 100", "x", nil, 408},
+		"too large":           {fmt.Sprintf("Content-Length: %d", maxBody+1), "", nil, 413},
+		"too large, unframed": {"Content-Length: 99999999999999999999", part, nil, 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gone := make(chan string, 4)
+			whole := make(chan bool, 4)
+			at := rawBackend(t, "a", func(c net.Conn, in *bufio.Reader) {
+				req, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, req.Body); err == nil {
+					whole <- true
+				}
+				gone <- "gone"
+			})
+			s := start(t, newConf(newRegistry(t).addr(), at), func(s *Sidecar) { s.frontend.peerWait = 300 * time.Millisecond })
+			c := s.upload(t, test.framing, test.body)
+			if test.end != nil {
+				test.end(c)
+			}
+			if test.want != 0 {
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil || resp.StatusCode != test.want || !resp.Close {
+					t.Errorf("%+v, %v, want %d", resp, err, test.want)
+				}
+			}
+			until(t, "it to be over", func() bool { return s.frontend.taken.Load() == 0 })
+			select {
+			case <-whole:
+				t.Error("the server got a whole request")
+			default:
+			}
+		})
+	}
+}
+
+// A server that turns a request away before its body is whole: it goes elsewhere as long as all of it is held.
+func TestTurnedAwayUnderABody(t *testing.T) {
+	size := 8 * holdMost
+	for _, held := range []bool{true, false} {
+		t.Run(fmt.Sprintf("held %v", held), func(t *testing.T) {
+			away := func(c net.Conn, in *bufio.Reader) {
+				req, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				if !held {
+					io.CopyN(io.Discard, req.Body, holdMost+1)
+				}
+				io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+				c.(*net.TCPConn).CloseWrite()
+				io.Copy(io.Discard, in)
+			}
+			c := newConf(newRegistry(t).addr(), rawBackend(t, "a", away), rawBackend(t, "b", away))
+			good := newBackend(t, "c", func(c net.Conn, r *http.Request, body string) bool {
+				if len(body) != size {
+					t.Errorf("the server got %d bytes", len(body))
+				}
+				return ok(c, r, body)
+			})
+			if held { // the third to be asked
+				c["known"] = list{Rev: 1, All: true, Targets: append(c["known"].(list).Targets, good.target)}
+			}
+			s := start(t, c)
+			conn := s.upload(t, "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n", holdMost+1, strings.Repeat("x", holdMost+1)))
+			if held { // the others have turned it away by now
+				until(t, "the good server to be asked", func() bool { return good.conns.Load() > 0 })
+			}
+			more := strings.Repeat("x", size-holdMost-1)
+			fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", len(more), more)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if want := map[bool]int{true: 200, false: statusRefused}[held]; resp.StatusCode != want {
+				t.Errorf("%s, want %d", resp.Status, want)
+			}
+		})
+	}
+}
+
+// The first bytes of a long answer go on at once, and the rest goes on after the client's deadline.
+func TestLongAnswerIsPassedOn(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		t.Run(fmt.Sprintf("chunked %v", chunked), func(t *testing.T) {
+			goOn := make(chan struct{})
+			release := sync.OnceFunc(func() { close(goOn) })
+			first, rest := pattern(1000), pattern(4*holdMost)
+			at := rawBackend(t, "a", func(c net.Conn, in *bufio.Reader) {
+				if _, err := http.ReadRequest(in); err != nil {
+					return
+				}
+				if chunked {
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n%s\r\n", first[:1])
+					time.Sleep(2 * holdTime)
+					fmt.Fprintf(c, "%x\r\n%s\r\n", len(first)-1, first[1:])
+				} else {
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(first)+len(rest), first)
+				}
+				<-goOn
+				if chunked {
+					fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(rest), rest)
+				} else {
+					c.Write(rest)
+				}
+			})
+			t.Cleanup(release)
+			s := start(t, newConf(newRegistry(t).addr(), at))
+			deadline := 200 * time.Millisecond
+			began := time.Now()
+			resp, err := s.client.Do(s.request("charge", deadline))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			got := make([]byte, len(first))
+			if _, err := io.ReadFull(resp.Body, got); err != nil || sum(got) != sum(first) {
+				t.Fatalf("the first bytes: %s, %v", sum(got), err)
+			}
+			time.Sleep(time.Until(began.Add(2 * deadline)))
+			release()
+			got, err = io.ReadAll(resp.Body)
+			if err != nil || sum(got) != sum(rest) {
+				t.Errorf("the rest: %s, %v", sum(got), err)
+			}
+		})
+	}
+}
+
+// A long answer that breaks off ends so that the client can tell, whatever its framing.
+func TestLongAnswerThatBreaksOff(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + string(pattern(holdMost+1)),
+		"chunked": fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", 2*holdMost, pattern(2*holdMost)),
+	} {
+		for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			t.Run(name+" "+proto, func(t *testing.T) {
+				b := newBackend(t, "a", respond(answer, false))
+				s := start(t, newConf(newRegistry(t).addr(), b.target))
+				c, err := net.Dial("tcp", s.Addr())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				c.SetDeadline(time.Now().Add(patience))
+				fmt.Fprintf(c, "GET /api %s\r\nHost: b\r\nX-Request-ID: 1\r\nX-Priority-Class: lookup\r\nX-Tenant-Id: kita\r\n\r\n", proto)
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err == nil {
+					if resp.StatusCode != 200 {
+						t.Error(resp.Status)
+					}
+					_, err = io.Copy(io.Discard, resp.Body)
+				}
+				if err == nil {
+					t.Error("the answer looks whole")
+				}
+				until(t, "it to be over", func() bool { return s.frontend.taken.Load() == 0 })
+				if n := b.requests.Load(); n != 1 {
+					t.Errorf("%d attempts", n)
+				}
+			})
+		}
+	}
+}
+
+// Bodies of many requests at a time are never held together, however slow either side is.
+func TestMemoryIsBounded(t *testing.T) {
+	const at, size = 24, 8 << 20
+	released := make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	server := rawBackend(t, "a", func(c net.Conn, in *bufio.Reader) {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		<-released // it reads nothing, then all
+		io.Copy(io.Discard, req.Body)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n", size)
+		io.CopyN(c, zeros{}, size)
+	})
+	s := start(t, newConf(newRegistry(t).addr(), server))
+	t.Cleanup(release)
+	var sent sync.WaitGroup
+	var conns []net.Conn
+	for range at {
+		c := s.upload(t, fmt.Sprintf("Content-Length: %d", size), "")
+		conns = append(conns, c)
+		sent.Go(func() { io.CopyN(c, zeros{}, size) })
+	}
+	until(t, "all at the server", func() bool { return s.frontend.taken.Load() == at })
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc >> 20
+	}
+	const most = at * 4 * holdMost >> 20
+	if mb := heap(); mb > most {
+		t.Errorf("%d MB are held on the way to the server, at most %d of %d are allowed", mb, most, at*size>>20)
+	}
+	release()
+	sent.Wait()
+	if mb := heap(); mb > most {
+		t.Errorf("%d MB are held on the way back, at most %d of %d are allowed", mb, most, at*size>>20)
+	}
+	for _, c := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, resp.Body); n != size || err != nil {
+			t.Errorf("%s, %d bytes, %v", resp.Status, n, err)
+		}
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// Only the time spent waiting for the client counts, and only what it sends buys more.
+func TestPacedBody(t *testing.T) {
+	var until time.Time
+	p := &pacedBody{
+		body: zeros{}, left: 100 * time.Millisecond,
+		until: func(t time.Time) error { until = t; return nil },
+	}
+	p.Read(make([]byte, slowestBody))
+	if wait := time.Until(until); wait > 100*time.Millisecond {
+		t.Errorf("%v for the first byte", wait)
+	}
+	p.Read(make([]byte, 1))
+	if wait := time.Until(until); wait < time.Second || wait > 1200*time.Millisecond {
+		t.Errorf("%v after what takes a second", wait)
+	}
+	p.waited = 900 * time.Millisecond
+	p.Read(make([]byte, 1))
+	if wait := time.Until(until); wait > 250*time.Millisecond {
+		t.Errorf("%v after 900 ms", wait)
+	}
+	p.read = maxBody
+	if _, err := p.Read(make([]byte, 1)); !errors.Is(err, errBodyLarge) {
+		t.Errorf("above the most: %v", err)
+	}
+}
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -70,6 +70,22 @@
 	}
 }
 
+// limitBuffer keeps the system from taking megabytes of an answer for a slow client.
+func (c *headConn) limitBuffer() {
+	if g, ok := c.Conn.(*guest); ok {
+		limitBuffer(g.Conn)
+	}
+}
+
+// reset makes the connection end with an error.
+func (c *headConn) reset() {
+	if g, ok := c.Conn.(*guest); ok {
+		if tcp, ok := g.Conn.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+	}
+}
+
 func (c *headConn) began() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -41,6 +41,7 @@
 type frontend struct {
 	cfg      *Config
 	figures  *figures
+	memory   memory // for bodies
 	post     func(any)
 	draining atomic.Bool
 	conns    atomic.Int64
@@ -97,11 +98,19 @@
 		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
 		return
 	}
-	c, status, err := f.parse(w, r)
+	c, body, err := f.parse(w, r)
 	if err != nil {
-		reject(w, err, status)
+		large := errors.Is(err, errBodyLarge)
+		if large {
+			http.NewResponseController(w).EnableFullDuplex()
+		}
+		reject(w, err, badStatus(err))
+		if large {
+			linger(w, r)
+		}
 		return
 	}
+	defer f.memory.give(c.held)
 	// Bounds what is open together with goroutines and connections to servers. Nothing has been sent, so a
 	// refusal is true.
 	if f.taken.Add(1) > f.maxTaken.Load() {
@@ -111,9 +120,18 @@
 		return
 	}
 	defer f.taken.Add(-1)
-	f.figures.inFlight.Add(1)
-	defer f.figures.inFlight.Add(-1)
-	f.serve(w, r, c)
+	f.serve(w, r, c, body)
+}
+
+func badStatus(err error) int {
+	switch {
+	case errors.Is(err, errBodyLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, errBodySlow):
+		return http.StatusRequestTimeout
+	default:
+		return http.StatusBadRequest
+	}
 }
 
 // reject answers what is not a proper request. What may follow on its connection cannot be trusted to be one.
@@ -122,6 +140,15 @@
 	http.Error(w, err.Error(), status)
 }
 
+// linger lets a client that is still sending see its answer: a connection that is closed with something unread
+// takes the answer with it.
+func linger(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	control.Flush()
+	control.SetReadDeadline(time.Now().Add(largeWait))
+	io.Copy(io.Discard, r.Body)
+}
+
 func (f *frontend) ready(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet && r.Method != http.MethodHead {
 		w.Header().Set("Allow", "GET, HEAD")
@@ -135,37 +162,136 @@
 	io.WriteString(w, "ready\n")
 }
 
-// serve waits for the one answer.
-func (f *frontend) serve(w http.ResponseWriter, r *http.Request, c *call) {
-	guard := time.NewTimer(time.Until(c.deadline) + millis(f.cfg.balance.AnswerSlack) + overdueWait)
+// serve waits for the one answer; body is what is still to come of a request that is passed on.
+func (f *frontend) serve(w http.ResponseWriter, r *http.Request, c *call, body io.Reader) {
+	control := http.NewResponseController(w)
+	guard := time.NewTimer(time.Hour)
 	defer guard.Stop()
+	counted := int64(0)
+	taken := func(received time.Time) { // its last byte is here
+		guard.Reset(time.Until(received.Add(c.wait)) + millis(f.cfg.balance.AnswerSlack) + overdueWait)
+		counted = 1
+		f.figures.inFlight.Add(1)
+	}
+	defer func() { f.figures.inFlight.Add(-counted) }()
+	var fed chan error // nil: the body is whole
+	if u := c.out.upload; u != nil {
+		control.EnableFullDuplex()
+		fed = make(chan error, 1)
+		go func() { fed <- u.feed(body) }()
+		defer func() {
+			u.drop()
+			if fed != nil {
+				<-fed // nobody may read when this request is over
+			}
+		}()
+	} else {
+		taken(c.deadline.Add(-c.wait))
+	}
 	f.post(arrival{c})
 	var a answer
-	select {
-	case a = <-c.answers:
-	case <-r.Context().Done():
-		if c.finish() {
-			f.post(hangUp{c})
-			f.figures.count(c.ev.Class, statusFailed)
-			return
-		}
-		a = <-c.answers
-	case <-guard.C:
-		// The module owes an answer and gave none: a bug, but the client is not left without one.
-		if c.finish() {
-			slog.Error("no answer from the module in time", "request", r.Header.Get("X-Request-ID"))
-			f.post(hangUp{c})
+	var failed error // it was no request after all
+	for decided := false; !decided; {
+		select {
+		case a = <-c.answers:
+			decided = true
+			continue
+		case err := <-fed:
+			fed = nil
+			if err == nil {
+				taken(c.out.upload.whole())
+				continue
+			}
+			failed = err
+		case <-r.Context().Done():
+			if fed != nil {
+				failed = <-fed // who broke off tells how
+				fed = nil
+			}
+		case <-guard.C:
+			// The module owes an answer and gave none: a bug, but the client is not left without one.
 			a = answer{status: statusTimedOut}
-		} else {
+		}
+		decided = true
+		if !c.finish() {
 			a = <-c.answers
+			continue
+		}
+		f.post(hangUp{c})
+		switch {
+		case a.status != 0:
+			slog.Error("no answer from the module in time", "request", r.Header.Get("X-Request-ID"))
+		case failed == nil:
+			f.figures.count(c.ev.Class, statusFailed)
+			return
 		}
 	}
-	f.figures.count(c.ev.Class, a.status)
 	// An attempt that passed its last check before the answer was decided may still be writing.
 	c.writing.Lock()
 	c.writing.Unlock() //nolint:staticcheck // only waits
 	f.limitWrite(w)
+	if failed == nil && c.out.upload != nil && c.out.upload.broken() { // the attempt was quicker to tell
+		failed, fed = <-fed, nil
+	}
+	if failed != nil {
+		reject(w, failed, badStatus(failed))
+		return
+	}
+	if fed != nil {
+		w.Header().Set("Connection", "close")
+	}
+	if a.stream != nil {
+		f.pass(w, r, c, a)
+		return
+	}
+	f.figures.count(c.ev.Class, a.status)
 	write(w, a)
+	if fed != nil {
+		control.Flush() // the client may be sending for long
+	}
+}
+
+// pass writes an answer as it comes. One that breaks off ends its connection, so that the client can tell.
+func (f *frontend) pass(w http.ResponseWriter, r *http.Request, c *call, a answer) {
+	control := http.NewResponseController(w)
+	s, h := a.stream, w.Header()
+	if conn, ok := r.Context().Value(connKey{}).(*headConn); ok {
+		conn.limitBuffer()
+	}
+	setContentType(h, a)
+	if s.length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(s.length, 10))
+	}
+	w.WriteHeader(a.status)
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	var end error
+	for part := s.first; ; {
+		if len(part) > 0 {
+			f.limitWrite(w)
+			if _, err := w.Write(part); err != nil || control.Flush() != nil {
+				s.ended <- errClient
+				f.figures.count(c.ev.Class, statusFailed)
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if end != nil {
+			break
+		}
+		var n int
+		n, end = s.rest.Read(*buf)
+		part = (*buf)[:n]
+	}
+	if end != io.EOF {
+		s.ended <- end
+		f.figures.count(c.ev.Class, statusFailed)
+		if conn, ok := r.Context().Value(connKey{}).(*headConn); ok && !r.ProtoAtLeast(1, 1) {
+			conn.reset() // the end of the connection would be the end of the answer
+		}
+		panic(http.ErrAbortHandler)
+	}
+	s.ended <- nil
+	f.figures.count(c.ev.Class, a.status)
 }
 
 // limitWrite bounds the time for an answer from now on: a client that does not read would hold its place
@@ -178,10 +304,7 @@
 
 func write(w http.ResponseWriter, a answer) {
 	h := w.Header()
-	h["Content-Type"] = nil
-	if a.contentType != "" {
-		h.Set("Content-Type", a.contentType)
-	}
+	setContentType(h, a)
 	if a.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter/1e3, 'f', 3, 64))
 	}
@@ -190,46 +313,79 @@
 	w.Write(a.body)
 }
 
-// parse takes in a request; one that is malformed reaches neither the module nor a server.
-func (f *frontend) parse(w http.ResponseWriter, r *http.Request) (*call, int, error) {
-	body, err := f.readBody(w, r)
+func setContentType(h http.Header, a answer) {
+	h["Content-Type"] = nil
+	if a.contentType != "" {
+		h.Set("Content-Type", a.contentType)
+	}
+}
+
+// parse takes in a request; one that is malformed reaches neither the module nor a server. Of a body that is not
+// held whole the rest is still to be read.
+func (f *frontend) parse(w http.ResponseWriter, r *http.Request) (*call, io.Reader, error) {
+	c, err := f.call(r)
 	if err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			return nil, http.StatusRequestEntityTooLarge, err
+		return nil, nil, err
+	}
+	c.out = &outbound{method: r.Method, url: r.URL, host: r.Host, header: endToEnd(r.Header)}
+	var rest io.Reader
+	if r.ContentLength != 0 {
+		if rest, err = f.readBody(w, r, c); err != nil {
+			f.memory.give(c.held)
+			return nil, nil, fmt.Errorf("body: %w", err)
 		}
-		return nil, http.StatusBadRequest, fmt.Errorf("body: %w", err)
 	}
-	received := time.Now() // the client's time counts from its last byte
-	c, err := f.call(r, received)
-	if err != nil {
-		return nil, http.StatusBadRequest, err
+	if rest == nil {
+		c.deadline = time.Now().Add(c.wait) // the client's time counts from its last byte
 	}
-	if r.Method == http.MethodGet && len(body) > 0 {
-		return nil, http.StatusBadRequest, errors.New("GET with a body")
+	if r.Method == http.MethodGet && (rest != nil || len(c.out.body) > 0) {
+		f.memory.give(c.held)
+		return nil, nil, errors.New("GET with a body")
 	}
-	c.out = &outbound{method: r.Method, url: r.URL, host: r.Host, header: endToEnd(r.Header), body: body}
-	return c, 0, nil
+	return c, rest, nil
 }
 
-func (f *frontend) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
+// readBody reads as much of a body as is held.
+func (f *frontend) readBody(w http.ResponseWriter, r *http.Request, c *call) (rest io.Reader, err error) {
+	length := r.ContentLength
+	if length > maxBody {
+		return nil, errBodyLarge
 	}
-	began := time.Now()
-	if c, ok := r.Context().Value(connKey{}).(*headConn); ok {
-		began = c.began()
+	most := holdMost
+	if length >= 0 && length <= holdMore {
+		most = int(length)
 	}
-	control := http.NewResponseController(w)
-	control.SetReadDeadline(began.Add(f.peerWait))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err == nil {
-		err = control.SetReadDeadline(time.Time{})
+	if f.memory.take(most) {
+		c.held = most
+	} else {
+		most = min(most, holdLeast)
+	}
+	body := newPacedBody(w, r, f.peerWait)
+	if length >= 0 {
+		first := make([]byte, min(int(length), most))
+		if _, err := io.ReadFull(body, first); err != nil {
+			return nil, err
+		}
+		if len(first) == int(length) {
+			c.out.body = first
+			return nil, nil
+		}
+		c.out.upload = newUpload(length, first)
+		return body, nil
+	}
+	first, err := io.ReadAll(io.LimitReader(body, int64(most)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(first) <= most {
+		c.out.body = first
+		return nil, nil
 	}
-	return body, err
+	c.out.upload = newUpload(length, first)
+	return body, nil
 }
 
-func (f *frontend) call(r *http.Request, received time.Time) (*call, error) {
+func (f *frontend) call(r *http.Request) (*call, error) {
 	if r.Header.Get("X-Request-ID") == "" {
 		return nil, errors.New("no X-Request-ID")
 	}
@@ -269,7 +425,7 @@
 		io.WriteString(h, k.Value)
 		ev.Key = h.Sum64()
 	}
-	return &call{ev: ev, deadline: received.Add(wait), answers: make(chan answer, 1)}, nil
+	return &call{ev: ev, wait: wait, answers: make(chan answer, 1)}, nil
 }
 
 // checkMethod: the method follows from the class. A keyed request without its key would run twice.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -38,8 +38,10 @@
 type call struct {
 	ev       balance.Request
 	out      *outbound
-	deadline time.Time
-	answers  chan answer // takes the loop's answer without blocking
+	held     int           // of the memory for bodies
+	wait     time.Duration // the client's, from its last byte
+	deadline time.Time     // zero while its body is still coming
+	answers  chan answer   // takes the loop's answer without blocking
 
 	final   atomic.Bool
 	writing sync.Mutex // held from the last check before an attempt's first byte to its last byte
@@ -57,6 +59,7 @@
 	retryAfter  float64 // ms; 0: none
 	contentType string
 	body        []byte
+	stream      *stream // in place of body: it is passed on as it comes
 }
 
 // attempt is one send of a call to a server.
@@ -64,8 +67,9 @@
 	call   *call
 	number int
 	up     *upstream
-	from   float64 // when the module decided
-	cut    time.Time
+	from   float64     // when the module decided, or the body was whole
+	took   float64     // until a streamed answer began; 0: none did
+	cut    time.Time   // zero: by the time when the body is whole
 	sent   atomic.Bool // its last byte is written
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -75,6 +79,11 @@
 type (
 	arrival struct{ call *call }
 	hangUp  struct{ call *call } // the client is gone, or its answer was overdue
+	whole   struct{ call *call } // its body has come to its end
+	began   struct {             // an answer that is passed on as it comes
+		attempt *attempt
+		answer  answer
+	}
 	outcome struct {
 		attempt *attempt
 		reply   reply
@@ -131,11 +140,13 @@
 }
 
 func newLoop(cfg *Config, bal *balance.Balancer, ups *upstreams) *loop {
-	return &loop{
+	l := &loop{
 		cfg: cfg, clock: newClock(), bal: bal, ups: ups, figures: ups.figures,
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
 		calls: map[balance.RequestID]*call{}, servers: map[balance.ServerID]*upstream{},
 	}
+	ups.offer, ups.stopped = l.post, l.stopped
+	return l
 }
 
 // post hands the loop something; after its end it is dropped.
@@ -212,8 +223,21 @@
 		ev.call.ev.ID = l.lastID
 		l.calls[l.lastID] = ev.call
 		request := ev.call.ev
-		request.Remaining = l.clock.ms(ev.call.deadline) - now
+		if request.Open = ev.call.out.upload != nil; request.Open {
+			request.Remaining = float64(ev.call.wait) / float64(time.Millisecond)
+		} else {
+			request.Remaining = l.clock.ms(ev.call.deadline) - now
+		}
 		l.tell(now, request)
+	case whole:
+		c := ev.call
+		c.deadline = c.out.upload.whole().Add(c.wait)
+		for _, a := range c.attempts {
+			a.from = now
+		}
+		l.tell(now, balance.Complete{Request: c.ev.ID, Remaining: l.clock.ms(c.deadline) - now})
+	case began:
+		l.takeBegan(now, ev.attempt, ev.answer)
 	case hangUp:
 		l.concluded(ev.call)
 		l.tell(now, balance.HangUp{Request: ev.call.ev.ID})
@@ -231,6 +255,19 @@
 	}
 }
 
+// takeBegan makes an answer that has begun the client's.
+func (l *loop) takeBegan(now float64, a *attempt, with answer) {
+	c := a.call
+	if !c.finish() {
+		with.stream.ended <- errUnwanted
+		return
+	}
+	a.took = now - a.from
+	c.answers <- with
+	l.concluded(c)
+	l.tell(now, balance.Started{Request: c.ev.ID, Attempt: a.number, Server: a.up.id, Took: a.took})
+}
+
 // takeOutcome passes on the one outcome of an attempt. The first that is served is the client's answer.
 func (l *loop) takeOutcome(now float64, a *attempt, r reply) {
 	a.cancel()
@@ -240,9 +277,13 @@
 		c.answers <- r.answer
 		l.concluded(c)
 	}
+	took := now - a.from
+	if a.took > 0 {
+		took = a.took
+	}
 	l.tell(now, balance.Outcome{
-		Request: c.ev.ID, Attempt: a.number, Server: a.up.id, Result: r.result, Took: now - a.from,
-		Finished: c.final.Load(), Report: r.report,
+		Request: c.ev.ID, Attempt: a.number, Server: a.up.id, Result: r.result, Took: took,
+		Finished: c.final.Load(), Report: r.report, Spent: r.spent,
 	})
 	l.forget(c)
 }
@@ -390,7 +431,7 @@
 	switch {
 	case act.Kind == balance.Refuse:
 		c.answers <- answer{status: statusRefused, retryAfter: act.At}
-	case now >= l.clock.ms(c.deadline):
+	case !c.deadline.IsZero() && now >= l.clock.ms(c.deadline):
 		c.answers <- answer{status: statusTimedOut}
 	default:
 		c.answers <- answer{status: statusFailed}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -27,6 +27,7 @@
 	keepShare     = 0.75 // of the client connections: beyond it they are closed between requests
 
 	memoryShare = 0.75 // of the limit; the rest is for what the runtime does not count
+	bodyShare   = 0.15 // of the limit, for bodies of requests that are held
 	gcPercent   = 400  // garbage is small beside the limit, and there is one core
 
 	// drainAccept is how long connections are taken after SIGTERM: new ones come for up to 0.4 s.
@@ -126,6 +127,7 @@
 	s.frontend.maxConns.Store(int64(float64(clients) * keepShare))
 	s.frontend.maxTaken.Store(int64(max(s.budget.taken/parts, 1)))
 	s.loop.ups.setMost(s.budget.servers / parts)
+	s.frontend.memory.set(s.cfg.bodyMemory() / int64(parts))
 	s.loop.post(balance.Sharing{Parts: parts})
 	limitMemory(s.cfg, parts)
 }
@@ -155,6 +157,14 @@
 	return int64(float64(cfg.MemoryMB) * memoryShare * (1 << 20) / float64(parts))
 }
 
+// bodyMemory is what bodies that are held may take, of all processes.
+func (cfg *Config) bodyMemory() int64 {
+	if cfg.MemoryMB == 0 {
+		return math.MaxInt32
+	}
+	return int64(float64(cfg.MemoryMB) * bodyShare * (1 << 20))
+}
+
 // limitMemory holds to a part what Limit has limited.
 func limitMemory(cfg *Config, parts int) {
 	before := debug.SetMemoryLimit(-1)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -20,10 +21,15 @@
 )
 
 const (
-	maxBody   = 64 << 10
 	maxHeader = 32 << 10
-	// A server that sends without end must not fill the memory.
-	mostAnswer = maxHeader + 2*maxBody
+	// A server that sends a head without end must not fill the memory.
+	mostAnswer = maxHeader + 2*holdMost
+	// holdTime is how long the beginning of an answer of unknown length is held: it may be short.
+	holdTime   = 25 * time.Millisecond
+	streamWait = 5 * time.Second // for the next bytes of a streamed body, either way
+	// sendBuffer keeps the system from taking megabytes for a slow peer, and from waking a writer only once a third
+	// of them is gone.
+	sendBuffer = 64 << 10
 	idleShare  = 0.85 // of the time after which a server closes an idle connection
 	probeWait  = 250 * time.Millisecond
 )
@@ -60,6 +66,7 @@
 	host   string
 	header http.Header // end-to-end headers only
 	body   []byte
+	upload *upload // in place of body: it is passed on as it comes
 }
 
 // reply is how an attempt or probe ended.
@@ -67,6 +74,7 @@
 	result balance.Result
 	answer answer
 	report []float32
+	spent  bool // the request's body is used up
 }
 
 // upstreams holds the kept connections to all servers and bounds how many there are.
@@ -77,6 +85,8 @@
 	probePath   string
 	ages        idleAges
 	figures     *figures
+	offer       func(any)       // hands an answer that has begun to the loop
+	stopped     <-chan struct{} // the loop has ended
 
 	mu   sync.Mutex
 	kept map[*upstream]struct{} // those with idle connections
@@ -104,6 +114,12 @@
 		Method: c.out.method, URL: c.out.url, Host: c.out.host, Header: c.out.header.Clone(),
 		ContentLength: int64(len(c.out.body)),
 	}
+	if u := c.out.upload; u != nil {
+		req.ContentLength = u.length
+		r := p.exchange(a.ctx, a.up, time.Now().Add(maxWait), req, a)
+		r.spent = u.spent()
+		return r
+	}
 	return p.exchange(a.ctx, a.up, a.cut, req, a)
 }
 
@@ -128,30 +144,41 @@
 		if err != nil {
 			return reply{result: unsent(ctx, cut, err)}
 		}
-		stop := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
-		conn.SetDeadline(cut)
-		if ctx.Err() != nil {
-			conn.SetDeadline(longAgo) // the line above may have undone the cancel
+		conn.head.next()
+		conn.left.N = mostAnswer
+		out := &sender{conn: conn}
+		stop := context.AfterFunc(ctx, out.stop)
+		if a == nil || a.call.out.upload == nil {
+			out.limit(cut)
 		}
-		all, err := writeRequest(conn, cut, req, a)
+		all, err := out.write(cut, req, a)
 		if all && a != nil {
 			p.figures.calls.Add(1)
 		}
-		if err != nil && !all {
+		if !all {
 			stop()
+			result := balance.Full
+			if !out.answered || !p.turnedAway(conn, req) {
+				result = unsent(ctx, cut, err)
+			}
 			p.discard(conn)
-			if kept && ctx.Err() == nil && errors.As(err, new(*net.OpError)) && time.Now().Before(cut) {
+			if kept && result != balance.Full && ctx.Err() == nil && errors.As(err, new(*net.OpError)) &&
+				time.Now().Before(cut) && (a == nil || a.call.out.upload == nil || !a.call.out.upload.spent()) {
 				continue // the server closed it while idle; nothing of the request has run
 			}
-			return reply{result: unsent(ctx, cut, err)}
+			return reply{result: result}
+		}
+		if a != nil && a.call.out.upload != nil {
+			cut = a.call.out.upload.whole().Add(a.call.wait)
+			out.limit(cut)
+			p.offer(whole{a.call})
+			<-out.peeked
 		}
 		idle := time.Duration(0)
 		if kept {
 			idle = time.Since(conn.since)
 		}
-		conn.left.N = mostAnswer
-		r, keep := p.readReply(ctx, conn, cut, req)
-		p.ages.note(time.Now(), idle, r.result == balance.Reset && conn.left.N == mostAnswer)
+		r, keep := p.readReply(ctx, conn, cut, req, a, idle)
 		if stop() && keep {
 			p.put(conn)
 		} else {
@@ -165,8 +192,51 @@
 // retired. It is checked last of all, as dialing takes time in which the list changes.
 var errMoot = errors.New("not to be sent any more")
 
-// writeRequest reports whether the last byte was written: only then may the request run.
-func writeRequest(conn *upConn, cut time.Time, req *http.Request, a *attempt) (bool, error) {
+// sender writes a request to a connection, until it is stopped.
+type sender struct {
+	conn     *upConn
+	peeked   chan struct{} // while a body is passed on: the server has begun to answer, or the connection is over
+	answered bool          // it answered before the body was whole
+
+	mu      sync.Mutex
+	stopped bool
+	body    *uploadReader
+}
+
+// stop breaks off whatever waits on the connection, for good.
+func (s *sender) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	s.conn.SetDeadline(longAgo)
+	if s.body != nil {
+		s.body.stop()
+	}
+}
+
+// limit sets the time by which all has to be done.
+func (s *sender) limit(cut time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.stopped {
+		s.conn.SetDeadline(cut)
+	}
+}
+
+// Write is for a body that is passed on: a server may be slow to read it, but must go on.
+func (s *sender) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	if s.stopped {
+		s.mu.Unlock()
+		return 0, errMoot
+	}
+	s.conn.SetWriteDeadline(time.Now().Add(streamWait))
+	s.mu.Unlock()
+	return s.conn.Write(p)
+}
+
+// write reports whether the last byte was written: only then may the request run.
+func (s *sender) write(cut time.Time, req *http.Request, a *attempt) (bool, error) {
 	if a != nil {
 		a.call.writing.Lock()
 		defer a.call.writing.Unlock()
@@ -175,23 +245,31 @@
 		}
 	}
 	left := time.Until(cut)
-	if conn.up.retired.Load() || left <= 0 {
+	if s.conn.up.retired.Load() || left <= 0 {
 		return false, errMoot
 	}
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = nil // none of our own
+	}
+	if a != nil && a.call.out.upload != nil {
+		req.Header.Set("X-Timeout-Ms", strconv.FormatInt(a.call.wait.Milliseconds(), 10))
+		err := s.passOn(req, a.call.out.upload)
+		if err == nil {
+			a.sent.Store(true)
+		}
+		return err == nil, err
+	}
 	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	req.Body = http.NoBody
 	if a != nil && len(a.call.out.body) > 0 {
 		// Anew for each connection: the write before has used it up, and the request could not move on.
 		req.Body = io.NopCloser(bytes.NewReader(a.call.out.body))
 	}
-	if _, ok := req.Header["User-Agent"]; !ok {
-		req.Header["User-Agent"] = nil // none of our own
-	}
 	var buf bytes.Buffer
 	if err := req.Write(&buf); err != nil {
 		return false, errMoot
 	}
-	n, err := conn.Write(buf.Bytes())
+	n, err := s.conn.Write(buf.Bytes())
 	all := n == buf.Len()
 	if all && a != nil {
 		a.sent.Store(true)
@@ -199,6 +277,66 @@
 	return all, err
 }
 
+// passOn writes a request whose body is still coming. A server that answers before it is whole wants no more.
+func (s *sender) passOn(req *http.Request, u *upload) error {
+	limitBuffer(s.conn.Conn)
+	body := u.reader()
+	s.mu.Lock()
+	s.body = body
+	if s.stopped {
+		body.stop()
+	}
+	s.mu.Unlock()
+	var done atomic.Bool
+	var early error
+	s.peeked = make(chan struct{})
+	go func() {
+		defer close(s.peeked)
+		_, err := s.conn.in.Peek(1)
+		if done.CompareAndSwap(false, true) {
+			s.answered, early = err == nil, err
+			s.stop()
+		}
+	}()
+	req.Body = io.NopCloser(body)
+	out := bufio.NewWriterSize(s, copySize)
+	err := req.Write(out)
+	if err == nil {
+		err = out.Flush()
+	}
+	first := done.CompareAndSwap(false, true)
+	if err == nil {
+		return nil
+	}
+	s.stop()
+	<-s.peeked
+	switch {
+	case u.broken(): // the client's fault
+		return errMoot
+	case !first && early != nil: // the connection broke
+		return errors.Join(early, syscall.EPIPE)
+	}
+	return err
+}
+
+// turnedAway reads the answer of a server that did not wait for the whole request.
+func (p *upstreams) turnedAway(conn *upConn, req *http.Request) bool {
+	conn.SetDeadline(time.Now().Add(probeWait))
+	resp, err := http.ReadResponse(conn.in, req)
+	return err == nil && notRun(resp)
+}
+
+func notRun(resp *http.Response) bool {
+	return resp.Header.Get("X-Not-Processed") == "1" &&
+		(resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout)
+}
+
+func limitBuffer(c net.Conn) {
+	if tcp, ok := c.(interface{ SetWriteBuffer(int) error }); ok {
+		tcp.SetWriteBuffer(sendBuffer)
+	}
+}
+
 // unsent is the result where the last byte was never written.
 func unsent(ctx context.Context, cut time.Time, err error) balance.Result {
 	switch {
@@ -212,37 +350,36 @@
 }
 
 // readReply reads the answer to a request that was written whole: what breaks from here on may have run.
-func (p *upstreams) readReply(ctx context.Context, conn *upConn, cut time.Time, req *http.Request) (reply, bool) {
-	conn.head.next()
+func (p *upstreams) readReply(ctx context.Context, conn *upConn, cut time.Time, req *http.Request, a *attempt,
+	idle time.Duration) (reply, bool) {
 	resp, err := http.ReadResponse(conn.in, req)
 	interim := false
 	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 		interim = true
 		resp, err = http.ReadResponse(conn.in, req)
 	}
-	var body []byte
+	lost := conn.left.N == mostAnswer // without a byte
 	if err == nil {
 		err = checkAnswer(conn, resp, interim)
 	}
+	var body []byte
 	if err == nil {
-		body, err = readBody(resp)
+		var more bool
+		if body, more, err = readBody(conn, resp, a != nil); more {
+			p.ages.note(time.Now(), idle, false)
+			return p.passAnswer(ctx, conn, resp, a, body)
+		}
 	}
+	r := reply{result: broken(ctx, err)}
+	p.ages.note(time.Now(), idle, r.result == balance.Reset && lost)
 	if err != nil {
-		var timeout net.Error
-		switch {
-		case ctx.Err() != nil:
-			return reply{result: balance.Cancelled}, false
-		case errors.As(err, &timeout) && timeout.Timeout():
-			return reply{result: balance.TimedOut}, false
-		default:
-			return reply{result: balance.Reset}, false
-		}
+		return r, false
 	}
-	r := reply{report: parseReport(resp.Header.Get("X-Server-Load"), p.reportNames)}
-	switch notRun := resp.Header.Get("X-Not-Processed") == "1"; {
+	r.report = parseReport(resp.Header.Get("X-Server-Load"), p.reportNames)
+	switch {
 	case resp.StatusCode == http.StatusOK:
 		r.answer = answer{status: http.StatusOK, contentType: resp.Header.Get("Content-Type"), body: body}
-	case notRun && (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout):
+	case notRun(resp):
 		r.result = balance.Full
 	default: // also 503 without the mark: it may have run
 		r.result = balance.Failed
@@ -250,9 +387,63 @@
 	return r, !resp.Close && conn.in.Buffered() == 0
 }
 
+// broken is the result of an answer that ended with an error.
+func broken(ctx context.Context, err error) balance.Result {
+	var timeout net.Error
+	switch {
+	case err == nil:
+		return balance.OK
+	case ctx.Err() != nil:
+		return balance.Cancelled
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return balance.TimedOut
+	default:
+		return balance.Reset
+	}
+}
+
+// passAnswer offers an answer that has begun to the client and stays until all of it was passed on.
+func (p *upstreams) passAnswer(ctx context.Context, conn *upConn, resp *http.Response, a *attempt, first []byte) (reply, bool) {
+	s := &stream{
+		length: resp.ContentLength, first: first, rest: &streamReader{ctx, conn, resp.Body}, ended: make(chan error, 1),
+	}
+	p.offer(began{a, answer{status: http.StatusOK, contentType: resp.Header.Get("Content-Type"), stream: s}})
+	var err error
+	select {
+	case err = <-s.ended:
+	case <-p.stopped: // nobody takes the offer any more
+		err = errUnwanted
+	}
+	r := reply{report: parseReport(resp.Header.Get("X-Server-Load"), p.reportNames)}
+	switch {
+	case err == errUnwanted, err == errClient:
+		r.result = balance.Cancelled
+	default:
+		r.result = broken(ctx, err)
+	}
+	return r, err == nil && !resp.Close && conn.in.Buffered() == 0
+}
+
+// streamReader reads an answer that may be slow, but must go on.
+type streamReader struct {
+	ctx  context.Context
+	conn *upConn
+	body io.Reader
+}
+
+func (r *streamReader) Read(p []byte) (int, error) {
+	r.conn.SetReadDeadline(time.Now().Add(streamWait))
+	if err := r.ctx.Err(); err != nil { // the line above may have undone the cancel
+		return 0, err
+	}
+	return r.body.Read(p)
+}
+
 var (
 	errNotHTTP1 = errors.New("an answer in a protocol that was not asked for")
 	errTwoEnds  = errors.New("an answer with Transfer-Encoding beside Content-Length")
+	// errAnswerLarge is for answers that nobody is served with.
+	errAnswerLarge = errors.New("body too large")
 )
 
 // checkAnswer refuses what net/http reads all the same, but would leave the connection out of step.
@@ -275,25 +466,43 @@
 
 var errUnframed = errors.New("an answer without framing may be cut short")
 
-// readBody reads all of a body, or fails: what is cut short is never passed on.
-func readBody(resp *http.Response) ([]byte, error) {
-	defer resp.Body.Close()
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return nil, errUnframed
-	}
-	if resp.ContentLength > maxBody {
-		return nil, errors.New("body too large")
-	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err == nil && len(body) > maxBody {
-		err = errors.New("body too large")
+// readBody reads all of a body, or fails: what is cut short is never passed on as whole. More tells that there is
+// more of it than is held: its beginning may be passed on. An answer other than 200 is never longer.
+func readBody(conn *upConn, resp *http.Response, mayPass bool) (first []byte, more bool, err error) {
+	length := resp.ContentLength
+	if length < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, false, errUnframed
+	}
+	mayPass = mayPass && resp.StatusCode == http.StatusOK
+	if length >= 0 && length <= holdMost {
+		first = make([]byte, length)
+		_, err = io.ReadFull(resp.Body, first)
+		return first, false, err
+	}
+	if length > holdMost && !mayPass {
+		return nil, false, errAnswerLarge
+	}
+	conn.left.N = math.MaxInt64 // from here on nothing is held without a bound
+	for begin := time.Now(); ; {
+		if len(first) == cap(first) {
+			first = append(first, make([]byte, max(4<<10, len(first)))...)[:len(first)]
+		}
+		n, err := resp.Body.Read(first[len(first):cap(first)])
+		if len(first) == 0 {
+			begin = time.Now()
+		}
+		first = first[:len(first)+n]
+		switch {
+		case err == io.EOF:
+			return first, false, nil
+		case err != nil:
+			return nil, false, err
+		case !mayPass && len(first) > holdMost:
+			return nil, false, errAnswerLarge
+		case mayPass && len(first) > 0 && (length > holdMost || len(first) > holdMost || time.Since(begin) >= holdTime):
+			return first, true, nil
+		}
 	}
-	return body, err
 }
 
 // parseReport reads "name=value,name=value" in the order of names; a report that lacks one is none.
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -67,23 +67,24 @@
 		answer string
 		want   int
 	}{
-		"error":               {"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", statusFailed},
-		"503 without mark":    {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", statusFailed},
-		"504 without mark":    {"HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n", statusFailed},
-		"429":                 {"HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n", statusFailed},
-		"500 with mark":       {"HTTP/1.1 500 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", statusFailed},
-		"503 with mark":       {"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", statusRefused},
-		"504 with mark":       {"HTTP/1.1 504 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", statusRefused},
-		"body cut short":      {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\ndone", statusFailed},
-		"chunks cut short":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n", statusFailed},
-		"no framing":          {"HTTP/1.1 200 OK\r\n\r\ndone", statusFailed},
-		"headers without end": {"HTTP/1.1 200 OK\r\n" + strings.Repeat("X-More: of the same\r\n", 20000) + "Content-Length: 4\r\n\r\ndone", statusFailed},
-		"not HTTP":            {"hello\r\n\r\n", statusFailed},
-		"whole":               {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", 200},
-		"whole after a hint":  {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", 200},
-		"whole, chunked":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", 200},
-		"head cut short":      {"HTTP/1.1 200 OK\r\nConte", statusFailed},
-		"body above the most": {"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000), statusFailed},
+		"error":                {"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", statusFailed},
+		"503 without mark":     {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", statusFailed},
+		"504 without mark":     {"HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n", statusFailed},
+		"429":                  {"HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n", statusFailed},
+		"500 with mark":        {"HTTP/1.1 500 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", statusFailed},
+		"503 with mark":        {"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", statusRefused},
+		"504 with mark":        {"HTTP/1.1 504 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", statusRefused},
+		"body cut short":       {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\ndone", statusFailed},
+		"chunks cut short":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n", statusFailed},
+		"no framing":           {"HTTP/1.1 200 OK\r\n\r\ndone", statusFailed},
+		"headers without end":  {"HTTP/1.1 200 OK\r\n" + strings.Repeat("X-More: of the same\r\n", 20000) + "Content-Length: 4\r\n\r\ndone", statusFailed},
+		"not HTTP":             {"hello\r\n\r\n", statusFailed},
+		"whole":                {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", 200},
+		"whole after a hint":   {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", 200},
+		"whole, chunked":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", 200},
+		"head cut short":       {"HTTP/1.1 200 OK\r\nConte", statusFailed},
+		"error above the most": {"HTTP/1.1 500 Oh\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000), statusFailed},
+		"error without end":    {"HTTP/1.1 500 Oh\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + strings.Repeat("x", 1<<17), statusFailed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBackend(t, "a", respond(test.answer, false))
@@ -277,7 +278,7 @@
 			b := newBackend(t, "a", ok)
 			p, a, conn, req := exchanging(t, b)
 			change(p, a)
-			all, err := writeRequest(conn, a.cut, req, a)
+			all, err := (&sender{conn: conn}).write(a.cut, req, a)
 			if all || err != errMoot || unsent(a.ctx, a.cut, err) != balance.Moot {
 				t.Errorf("written %v, error %v", all, err)
 			}
@@ -294,7 +295,7 @@
 	b := newBackend(t, "a", ok)
 	_, a, conn, req := exchanging(t, b)
 	conn.Conn.(*net.TCPConn).CloseWrite()
-	all, err := writeRequest(conn, a.cut, req, a)
+	all, err := (&sender{conn: conn}).write(a.cut, req, a)
 	if got := unsent(a.ctx, a.cut, err); all || got != balance.Broken {
 		t.Errorf("written %v, %v, result %v", all, err, got)
 	}
