Take answers that end with their connection as whole

Some 200 answers of 3919 requests are of this form; unsafe ones of them fail, safe ones are sent twice. It is one of HTTP/1.1's own forms (RFC 9112, 6.3): the answer ends with its connection. Ruled out, by a log line for each broken answer: late answers (2 of the first 20) and malformed ones (none).

A connection that ends by a reset, or right behind the head, is still a broken answer.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -464,15 +464,14 @@
 	return nil
 }
 
-var errUnframed = errors.New("an answer without framing may be cut short")
+// errUnframed: the end of a connection right behind a head that does not tell where its answer ends.
+var errUnframed = errors.New("an answer of nothing but its head")
 
 // readBody reads all of a body, or fails: what is cut short is never passed on as whole. More tells that there is
 // more of it than is held: its beginning may be passed on. An answer other than 200 is never longer.
 func readBody(conn *upConn, resp *http.Response, mayPass bool) (first []byte, more bool, err error) {
 	length := resp.ContentLength
-	if length < 0 && len(resp.TransferEncoding) == 0 {
-		return nil, false, errUnframed
-	}
+	unframed := length < 0 && len(resp.TransferEncoding) == 0 // it ends with its connection
 	mayPass = mayPass && resp.StatusCode == http.StatusOK
 	if length >= 0 && length <= holdMost {
 		first = make([]byte, length)
@@ -493,6 +492,8 @@
 		}
 		first = first[:len(first)+n]
 		switch {
+		case err == io.EOF && unframed && len(first) == 0:
+			return nil, false, errUnframed
 		case err == io.EOF:
 			return first, false, nil
 		case err != nil:
