Pass on the beginning of an answer of unknown length after 25 ms, come what may

Cause: readBody looked at the time only after its next read, which waited for the server's next piece. It now waits for that piece with a deadline, on the connection, as a timed-out read of chunks could not go on. Ruled out as the cause of these: the way to the server (sent within 0.2 ms) and the loop (0.1 ms).

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -365,7 +366,7 @@
 	var body []byte
 	if err == nil {
 		var more bool
-		if body, more, err = readBody(conn, resp, a != nil); more {
+		if body, more, err = readBody(ctx, conn, cut, resp, a != nil); more {
 			p.ages.note(time.Now(), idle, false)
 			return p.passAnswer(ctx, conn, resp, a, body)
 		}
@@ -469,7 +470,7 @@
 
 // readBody reads all of a body, or fails: what is cut short is never passed on as whole. More tells that there is
 // more of it than is held: its beginning may be passed on. An answer other than 200 is never longer.
-func readBody(conn *upConn, resp *http.Response, mayPass bool) (first []byte, more bool, err error) {
+func readBody(ctx context.Context, conn *upConn, cut time.Time, resp *http.Response, mayPass bool) (first []byte, more bool, err error) {
 	length := resp.ContentLength
 	unframed := length < 0 && len(resp.TransferEncoding) == 0 // it ends with its connection
 	mayPass = mayPass && resp.StatusCode == http.StatusOK
@@ -486,6 +487,12 @@
 		if len(first) == cap(first) {
 			first = append(first, make([]byte, max(4<<10, len(first)))...)[:len(first)]
 		}
+		if mayPass && len(first) > 0 {
+			in, err := conn.moreBy(ctx, begin.Add(holdTime), cut)
+			if !in || err != nil {
+				return first, err == nil, err
+			}
+		}
 		n, err := resp.Body.Read(first[len(first):cap(first)])
 		if len(first) == 0 {
 			begin = time.Now()
@@ -500,7 +507,7 @@
 			return nil, false, err
 		case !mayPass && len(first) > holdMost:
 			return nil, false, errAnswerLarge
-		case mayPass && len(first) > 0 && (length > holdMost || len(first) > holdMost || time.Since(begin) >= holdTime):
+		case mayPass && len(first) > 0 && (length > holdMost || len(first) > holdMost):
 			return first, true, nil
 		}
 	}
@@ -560,6 +567,28 @@
 	return &upConn{Conn: c, in: bufio.NewReader(left), left: left, head: head, up: up}, false, nil
 }
 
+// moreBy waits for the next bytes, or the end, until a time and no longer than cut. It leaves them to be read, but
+// not an error: the system tells that only once.
+func (c *upConn) moreBy(ctx context.Context, until, cut time.Time) (bool, error) {
+	if c.in.Buffered() > 0 || until.After(cut) {
+		return true, nil
+	}
+	c.SetReadDeadline(until)
+	_, err := c.in.Peek(1)
+	c.SetReadDeadline(cut)
+	if ctx.Err() != nil { // the lines above may have undone the cancel
+		c.SetReadDeadline(longAgo)
+	}
+	switch {
+	case err == nil, err == io.EOF:
+		return true, nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return false, ctx.Err()
+	default:
+		return false, err
+	}
+}
+
 // quiet tells that a kept connection is open with nothing to read. A server may have closed it while it
 // was idle; a request written to it would end as a reset, which may have run.
 func (c *upConn) quiet() bool {
