Pass on what has come of a chunk before the rest of it comes

A log line for each broken answer: 78 ended at their deadline, all but one with chunks, with 3 to 70 kB of them read and nothing left in the buffer. Cause: net/http's reader of chunks goes on until it has filled what it is given or the chunk has ended, so a slow server's long chunk lay in the sidecar, in the first part as well as under way. It is asked for no more than half of what is there now. Ruled out: the wait for the next piece itself (its time-outs passed answers on), the client's side (no error on writing).

Not taken: a decoder of chunks of our own, which net/http's serves but for this.

The test's server now stops in the middle of a chunk; without this it fails.

--- a/internal/sidecar/body_test.go
+++ b/internal/sidecar/body_test.go
@@ -243,15 +243,14 @@
 				if _, err := http.ReadRequest(in); err != nil {
 					return
 				}
-				if chunked {
-					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n%s\r\n", first[:1])
-					fmt.Fprintf(c, "%x\r\n%s\r\n", len(first)-1, first[1:])
+				if chunked { // in the middle of a chunk
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", len(first)+len(rest), first)
 				} else {
 					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(first)+len(rest), first)
 				}
 				<-goOn
 				if chunked {
-					fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(rest), rest)
+					fmt.Fprintf(c, "%s\r\n0\r\n\r\n", rest)
 				} else {
 					c.Write(rest)
 				}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -406,7 +406,7 @@
 // passAnswer offers an answer that has begun to the client and stays until all of it was passed on.
 func (p *upstreams) passAnswer(ctx context.Context, conn *upConn, resp *http.Response, a *attempt, first []byte) (reply, bool) {
 	s := &stream{
-		length: resp.ContentLength, first: first, rest: &streamReader{ctx, conn, resp.Body}, ended: make(chan error, 1),
+		length: resp.ContentLength, first: first, rest: &streamReader{ctx, conn, atOnce(conn, resp)}, ended: make(chan error, 1),
 	}
 	p.offer(began{a, answer{status: http.StatusOK, contentType: resp.Header.Get("Content-Type"), stream: s}})
 	var err error
@@ -483,6 +483,7 @@
 		return nil, false, errAnswerLarge
 	}
 	conn.left.N = math.MaxInt64 // from here on nothing is held without a bound
+	body := atOnce(conn, resp)
 	for begin := time.Now(); ; {
 		if len(first) == cap(first) {
 			first = append(first, make([]byte, max(4<<10, len(first)))...)[:len(first)]
@@ -493,7 +494,7 @@
 				return first, err == nil, err
 			}
 		}
-		n, err := resp.Body.Read(first[len(first):cap(first)])
+		n, err := body.Read(first[len(first):cap(first)])
 		if len(first) == 0 {
 			begin = time.Now()
 		}
@@ -567,6 +568,42 @@
 	return &upConn{Conn: c, in: bufio.NewReader(left), left: left, head: head, up: up}, false, nil
 }
 
+// atOnce gives a body's bytes as they come. The reader of chunks goes on until it has filled what it is given, or
+// a chunk has ended, and holds back what a slow server has sent.
+func atOnce(conn *upConn, resp *http.Response) io.Reader {
+	if len(resp.TransferEncoding) == 0 {
+		return resp.Body
+	}
+	return &chunkReader{conn.in, resp.Body}
+}
+
+type chunkReader struct {
+	in   *bufio.Reader // under body
+	body io.Reader
+}
+
+// Read never asks for more than half of what is there: the rest may be the frames of chunks. Behind the end of a
+// chunk it stops, as the next one may not have begun.
+func (r *chunkReader) Read(p []byte) (n int, err error) {
+	if _, err := r.in.Peek(1); err == io.EOF {
+		return 0, io.ErrUnexpectedEOF
+	} else if err != nil {
+		return 0, err
+	}
+	for n < len(p) && err == nil {
+		there := r.in.Buffered()
+		if n > 0 {
+			if next, _ := r.in.Peek(min(there, 1)); len(next) == 0 || next[0] == '\r' {
+				break
+			}
+		}
+		var more int
+		more, err = r.body.Read(p[n : n+min(len(p)-n, max(there/2, 1))])
+		n += more
+	}
+	return n, err
+}
+
 // moreBy waits for the next bytes, or the end, until a time and no longer than cut. It leaves them to be read, but
 // not an error: the system tells that only once.
 func (c *upConn) moreBy(ctx context.Context, until, cut time.Time) (bool, error) {
