Take an answer that says it is longer than 32 MB for a broken one

Answers reach 32 MB: what announces more is a failed attempt again, and one without an end is cut off there.

--- a/internal/sidecar/body.go
+++ b/internal/sidecar/body.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	maxBody = 32 << 20 // of requests
+	maxBody = 32 << 20 // of requests and answers
 	// holdMost is the longest body, of a request or an answer, that is always held whole: then a request can be
 	// sent again, and an answer that is cut short is a failed attempt and not the client's.
 	holdMost = 64 << 10
--- a/internal/sidecar/body_test.go
+++ b/internal/sidecar/body_test.go
@@ -314,6 +314,25 @@
 	}
 }
 
+// An answer without end is cut off, and the client can tell.
+func TestAnswerWithoutEnd(t *testing.T) {
+	at := rawBackend(t, "a", func(c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+			io.Copy(c, zeros{})
+		}
+	})
+	s := start(t, newConf(newRegistry(t).addr(), at))
+	resp, err := s.client.Do(s.request("charge", time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if n, err := io.Copy(io.Discard, resp.Body); err == nil || n > maxBody {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
+
 // Bodies of many requests at a time are never held together, however slow either side is.
 func TestMemoryIsBounded(t *testing.T) {
 	const at, size = 24, 8 << 20
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -406,7 +406,7 @@
 // passAnswer offers an answer that has begun to the client and stays until all of it was passed on.
 func (p *upstreams) passAnswer(ctx context.Context, conn *upConn, resp *http.Response, a *attempt, first []byte) (reply, bool) {
 	s := &stream{
-		length: resp.ContentLength, first: first, rest: &streamReader{ctx, conn, atOnce(conn, resp)}, ended: make(chan error, 1),
+		length: resp.ContentLength, first: first, rest: &streamReader{ctx, conn, atOnce(conn, resp), maxBody - int64(len(first))}, ended: make(chan error, 1),
 	}
 	p.offer(began{a, answer{status: http.StatusOK, contentType: resp.Header.Get("Content-Type"), stream: s}})
 	var err error
@@ -430,6 +430,7 @@
 	ctx  context.Context
 	conn *upConn
 	body io.Reader
+	left int64 // of the longest answer
 }
 
 func (r *streamReader) Read(p []byte) (int, error) {
@@ -437,13 +438,17 @@
 	if err := r.ctx.Err(); err != nil { // the line above may have undone the cancel
 		return 0, err
 	}
-	return r.body.Read(p)
+	n, err := r.body.Read(p)
+	if r.left -= int64(n); r.left < 0 { // it has no end
+		return 0, errAnswerLarge
+	}
+	return n, err
 }
 
 var (
 	errNotHTTP1 = errors.New("an answer in a protocol that was not asked for")
 	errTwoEnds  = errors.New("an answer with Transfer-Encoding beside Content-Length")
-	// errAnswerLarge is for answers that nobody is served with.
+	// errAnswerLarge is for answers above 32 MB, and long ones that nobody is served with.
 	errAnswerLarge = errors.New("body too large")
 )
 
@@ -479,7 +484,7 @@
 		_, err = io.ReadFull(resp.Body, first)
 		return first, false, err
 	}
-	if length > holdMost && !mayPass {
+	if length > maxBody || length > holdMost && !mayPass {
 		return nil, false, errAnswerLarge
 	}
 	conn.left.N = math.MaxInt64 // from here on nothing is held without a bound
