Bound requests at a time by memory, and halve the buffers of long bodies

As each long body takes about 100 KiB on its way, the 432 requests at a time that 1,024 descriptors allow could take more than 32 or 64 MB. They are bounded now by half of the memory limit over 96 KiB; what is above is refused at once, as it was above the descriptors.

Not taken: to leave the bound to the runtime's memory limit, which can only collect garbage.

--- a/internal/sidecar/body.go
+++ b/internal/sidecar/body.go
@@ -16,7 +16,7 @@
 	// holdMore is the longest body of a request that is held whole while there is memory for it.
 	holdMore  = 1 << 20
 	holdLeast = 4 << 10 // of a body where there is no memory left
-	copySize  = 32 << 10
+	copySize  = 16 << 10
 
 	// A client may send its body at 64 kB a second. This part of that is asked for, beside the time for a request.
 	slowestBody = 48 << 10
--- a/internal/sidecar/body_test.go
+++ b/internal/sidecar/body_test.go
@@ -335,7 +335,7 @@
 
 // Bodies of many requests at a time are never held together, however slow either side is.
 func TestMemoryIsBounded(t *testing.T) {
-	const at, size = 24, 8 << 20
+	const at, size = 96, 4 << 20
 	released := make(chan struct{})
 	release := sync.OnceFunc(func() { close(released) })
 	server := rawBackend(t, "a", func(c net.Conn, in *bufio.Reader) {
@@ -384,6 +384,26 @@
 	}
 }
 
+// Requests at a time are bounded by memory where there are more sockets than it would do for.
+func TestMemoryBoundsRequests(t *testing.T) {
+	for mb, want := range map[int]int{0: 432, 32: 170, 192: 432} {
+		c := newConf("127.0.0.1:1")
+		c["limits"] = map[string]any{"sockets": 1024, "memory_mb": mb}
+		cfg, err := c.load(t)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := New(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.listener.Close()
+		if got := s.budget.taken; got != want {
+			t.Errorf("%d MB: %d requests at a time, want %d", mb, got, want)
+		}
+	}
+}
+
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -26,9 +26,11 @@
 	clientShare   = 0.55 // of the rest, for clients; servers have what is left
 	keepShare     = 0.75 // of the client connections: beyond it they are closed between requests
 
-	memoryShare = 0.75 // of the limit; the rest is for what the runtime does not count
-	bodyShare   = 0.15 // of the limit, for bodies of requests that are held
-	gcPercent   = 400  // garbage is small beside the limit, and there is one core
+	memoryShare = 0.75     // of the limit; the rest is for what the runtime does not count
+	bodyShare   = 0.15     // of the limit, for bodies of requests that are held
+	takenShare  = 0.5      // of the limit, for all else of requests at a time
+	takenCost   = 96 << 10 // that a long body or answer takes on its way: buffers, connections and stacks
+	gcPercent   = 400      // garbage is small beside the limit, and there is one core
 
 	// drainAccept is how long connections are taken after SIGTERM: new ones come for up to 0.4 s.
 	drainAccept = 500 * time.Millisecond
@@ -93,6 +95,9 @@
 	all := budget{manage: int(float64(reserve) * manageShare), clients: int(float64(free) * clientShare)}
 	all.servers = free - all.clients
 	all.taken = all.servers
+	if cfg.MemoryMB > 0 {
+		all.taken = min(all.taken, int(float64(cfg.MemoryMB)*takenShare*(1<<20)/takenCost))
+	}
 	if cfg.maxOpen > 0 {
 		all.taken = min(all.taken, cfg.maxOpen)
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -300,7 +300,7 @@
 		}
 	}()
 	req.Body = io.NopCloser(body)
-	out := bufio.NewWriterSize(s, copySize)
+	out := bufio.NewWriterSize(s, copySize/2)
 	err := req.Write(out)
 	if err == nil {
 		err = out.Flush()
