--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"runtime/debug"
 
-	"bayhaven/balance"
-	"bayhaven/internal/wire"
+	"marblelane/balance"
+	"marblelane/internal/wire"
 )
 
 func main() {
--- a/cmd/silverreel/main.go
+++ b/cmd/silverreel/main.go
@@ -10,7 +10,7 @@
 	"os/signal"
 	"syscall"
 
-	"bayhaven/internal/sidecar"
+	"marblelane/internal/sidecar"
 )
 
 func main() {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -11,8 +11,8 @@
 	"strconv"
 	"time"
 
-	"bayhaven/balance"
-	"bayhaven/internal/wire"
+	"marblelane/balance"
+	"marblelane/internal/wire"
 )
 
 // Config is what a sidecar is told at its start.
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -17,7 +17,7 @@
 	"sync/atomic"
 	"time"
 
-	"bayhaven/balance"
+	"marblelane/balance"
 )
 
 const (
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"bayhaven/balance"
+	"marblelane/balance"
 )
 
 // hearing is a discovery whose reports the test takes in place of the loop.
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"bayhaven/balance"
+	"marblelane/balance"
 )
 
 // Final answers other than 200. 429 and 503 tell the client that trying again is harmless, so nothing else
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"bayhaven/balance"
+	"marblelane/balance"
 )
 
 // publishEvery is how far the figures of servers may lag: 0.5 s is allowed.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"bayhaven/balance"
+	"marblelane/balance"
 )
 
 const (
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -18,7 +18,7 @@
 	"syscall"
 	"time"
 
-	"bayhaven/balance"
+	"marblelane/balance"
 )
 
 const (
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"bayhaven/balance"
+	"marblelane/balance"
 )
 
 // A kept connection that breaks under a request ends the attempt: an unsafe request is not sent again, and
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -10,7 +10,7 @@
 	"io"
 	"math"
 
-	"bayhaven/balance"
+	"marblelane/balance"
 )
 
 // Event codes.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"bayhaven/balance"
+	"marblelane/balance"
 )
 
 // unhex joins hex text with spaces and line breaks.
