--- /dev/null
+++ b/internal/lab/relay/listen.go
@@ -0,0 +1,294 @@
+// Package relay puts faults on the links between the parties of a run: latency and jitter, bandwidth, silent cuts
+// one way or both, resets, refusals, half-closes and breaks after so many bytes.
+//
+// A party that is called listens once, on every loopback address at a port of the system's choice; each caller is
+// given an address of its own for it. The address a connection came to therefore names the caller, and one
+// listener carries the links of hundreds of callers: with one listener a pair, 100 callers of 1,000 parties would
+// need 100,000. A pair's new connections are cut by a filter on the listening socket that drops what is sent to
+// the caller's address (classic BPF, which needs no rights): they never come up, as when a machine vanishes.
+// Open connections stay open and silent: the relay neither reads nor writes them until the cut is over.
+//
+// The way not taken: network namespaces and traffic control. They need rights that a developer's machine and CI
+// may not give, and cannot break a connection after N bytes.
+//
+// Not promised: a pair's refusal is a reset right after the connection is accepted, as only a whole listener can
+// refuse; latency is added to each read and write, so that a link carries at most one buffer (32 KiB or so) for
+// each latency.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// firstNet is the second byte of the addresses that callers are given; 127.0.0.1 is nobody's.
+const firstNet = 64
+
+// maxCallers bounds the callers of one party, by the filter's length (two instructions a caller).
+const maxCallers = 1900
+
+// callerAddr is the loopback address at which caller n reaches whatever listens for it.
+func callerAddr(n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(firstNet + n>>16), byte(n >> 8), byte(n)})
+}
+
+// Caller tells which caller an address was given to.
+func caller(a netip.Addr) (int, bool) {
+	b := a.Unmap().As4()
+	if b[0] != 127 || b[1] < firstNet {
+		return 0, false
+	}
+	return int(b[1]-firstNet)<<16 | int(b[2])<<8 | int(b[3]), true
+}
+
+// Port is where one party is called, by all callers.
+type Port struct {
+	links func(caller int) *Link
+
+	mu     sync.Mutex
+	port   int
+	l      *net.TCPListener
+	cut    []int // callers whose new connections are dropped, sorted
+	conns  map[*Conn]struct{}
+	closed bool
+	serve  func(*Conn)
+	wg     sync.WaitGroup
+}
+
+// Listen opens a port for a party; links gives each caller's link to it. Each connection is handed to serve in a
+// goroutine of its own and closed after it.
+func Listen(links func(caller int) *Link, serve func(*Conn)) (*Port, error) {
+	p := &Port{links: links, serve: serve, conns: map[*Conn]struct{}{}}
+	if err := p.Open(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Addr is the address of the party for a caller.
+func (p *Port) Addr(caller int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return netip.AddrPortFrom(callerAddr(caller), uint16(p.port)).String()
+}
+
+// Open listens (again); on the port it had before, if any. It does nothing on an open port.
+func (p *Port) Open() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return net.ErrClosed
+	}
+	if p.l != nil {
+		return nil
+	}
+	lc := net.ListenConfig{KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			// Every loopback address at once, and nothing but the loopback device.
+			failed = unix.BindToDevice(int(fd), "lo")
+		})
+		return errors.Join(err, failed)
+	}}
+	lc.SetMultipathTCP(false) // its sockets take no filter
+	l, err := lc.Listen(context.Background(), "tcp4", fmt.Sprintf("0.0.0.0:%d", p.port))
+	if err != nil {
+		return fmt.Errorf("relay: listen on loopback: %w", err)
+	}
+	p.l = l.(*net.TCPListener)
+	p.port = p.l.Addr().(*net.TCPAddr).Port
+	if err := p.filter(); err != nil {
+		p.l.Close()
+		p.l = nil
+		return err
+	}
+	listening := p.l
+	p.wg.Go(func() { p.accept(listening) })
+	return nil
+}
+
+// Shut stops listening, so that new connections are refused, and resets the open ones: the process has died.
+func (p *Port) Shut() {
+	p.mu.Lock()
+	l := p.l
+	p.l = nil
+	conns := p.open()
+	p.mu.Unlock()
+	if l != nil {
+		l.Close()
+	}
+	for _, c := range conns {
+		c.Reset()
+	}
+}
+
+// StopAccepting closes the listener and leaves the open connections alone.
+func (p *Port) StopAccepting() {
+	p.mu.Lock()
+	l := p.l
+	p.l = nil
+	p.mu.Unlock()
+	if l != nil {
+		l.Close()
+	}
+}
+
+// Close ends the port for good and waits for what served its connections.
+func (p *Port) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.Shut()
+	p.wg.Wait()
+}
+
+func (p *Port) open() []*Conn {
+	conns := make([]*Conn, 0, len(p.conns))
+	for c := range p.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// Each calls f for every open connection of a caller.
+func (p *Port) Each(caller int, f func(*Conn)) {
+	p.mu.Lock()
+	conns := p.open()
+	p.mu.Unlock()
+	for _, c := range conns {
+		if c.Caller == caller {
+			f(c)
+		}
+	}
+}
+
+func (p *Port) accept(l *net.TCPListener) {
+	for {
+		raw, err := l.AcceptTCP()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			// Out of descriptors, say: the next one may be accepted again.
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		n, ok := caller(raw.LocalAddr().(*net.TCPAddr).AddrPort().Addr())
+		if !ok || !raw.RemoteAddr().(*net.TCPAddr).IP.IsLoopback() {
+			raw.Close()
+			continue
+		}
+		link := p.links(n)
+		if link == nil {
+			raw.Close()
+			continue
+		}
+		c := newConn(raw, link, n)
+		p.mu.Lock()
+		late := p.l != l
+		if !late {
+			p.conns[c] = struct{}{}
+			c.detachFilter()
+		}
+		p.mu.Unlock()
+		if late || link.refuses() {
+			c.Reset()
+			p.forget(c)
+			continue
+		}
+		p.wg.Go(func() {
+			defer p.forget(c)
+			defer c.Close()
+			p.serve(c)
+		})
+	}
+}
+
+func (p *Port) forget(c *Conn) {
+	p.mu.Lock()
+	delete(p.conns, c)
+	p.mu.Unlock()
+}
+
+// Cut makes new connections of a caller never come up; Heal lets them again.
+func (p *Port) Cut(caller int) error { return p.setCut(caller, true) }
+
+// Heal ends a Cut.
+func (p *Port) Heal(caller int) error { return p.setCut(caller, false) }
+
+func (p *Port) setCut(caller int, cut bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i, had := slices.BinarySearch(p.cut, caller)
+	switch {
+	case cut && !had:
+		p.cut = slices.Insert(p.cut, i, caller)
+	case !cut && had:
+		p.cut = slices.Delete(p.cut, i, i+1)
+	default:
+		return nil
+	}
+	return p.filter()
+}
+
+// filter gives the listening socket the program that drops what cut callers send. p.mu is held.
+func (p *Port) filter() error {
+	if p.l == nil {
+		return nil
+	}
+	if len(p.cut) > maxCallers {
+		return fmt.Errorf("relay: %d callers are cut off one party, at most %d can be", len(p.cut), maxCallers)
+	}
+	raw, err := p.l.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("relay: %w", err)
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		if len(p.cut) == 0 {
+			failed = detach(int(fd))
+			return
+		}
+		prog := dropTo(p.cut)
+		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
+			&unix.SockFprog{Len: uint16(len(prog)), Filter: &prog[0]})
+	})
+	if err := errors.Join(err, failed); err != nil {
+		return fmt.Errorf("relay: filter on the listening socket: %w", err)
+	}
+	return nil
+}
+
+// networkHeader is SKF_NET_OFF (-0x100000) of linux/filter.h: offsets from it count from the IP header.
+const networkHeader = 0xfff00000
+
+// dropTo is a program that drops each packet whose destination is the address of one of the callers.
+func dropTo(callers []int) []unix.SockFilter {
+	const destination = 16 // its offset in the IPv4 header
+	prog := []unix.SockFilter{{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: networkHeader + destination}}
+	for _, n := range callers {
+		b := callerAddr(n).As4()
+		addr := uint32(b[0])<<24 | uint32(b[1])<<16 | uint32(b[2])<<8 | uint32(b[3])
+		prog = append(prog,
+			unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jf: 1, K: addr},
+			unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0})
+	}
+	return append(prog, unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 1 << 18})
+}
+
+func detach(fd int) error {
+	err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+	if errors.Is(err, unix.ENOENT) { // there was none
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/lab/relay/relay_test.go
@@ -0,0 +1,264 @@
+package relay
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 10 * time.Second
+
+// echo answers each line with who called and what it said.
+func echo(t *testing.T, callers int) (*Port, []*Link) {
+	t.Helper()
+	links := make([]*Link, callers)
+	for i := range links {
+		links[i] = NewLink(Rules{}, uint64(i))
+	}
+	p, err := Listen(func(n int) *Link {
+		if n >= len(links) {
+			return nil
+		}
+		return links[n]
+	}, func(c *Conn) {
+		in := bufio.NewReader(c)
+		for {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if _, err := fmt.Fprintf(c, "%d %s", c.Caller, line); err != nil {
+				return
+			}
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p, links
+}
+
+func dial(t *testing.T, p *Port, caller int) *net.TCPConn {
+	t.Helper()
+	c, err := net.DialTimeout("tcp4", p.Addr(caller), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c.(*net.TCPConn)
+}
+
+// say sends a line and returns the answer, or the error within the wait.
+func say(c net.Conn, text string, wait time.Duration) (string, error) {
+	_ = c.SetDeadline(time.Now().Add(wait))
+	if _, err := io.WriteString(c, text+"\n"); err != nil {
+		return "", err
+	}
+	return bufio.NewReader(c).ReadString('\n')
+}
+
+const shortly = 150 * time.Millisecond // for what must not come
+
+func TestAddressNamesCaller(t *testing.T) {
+	p, _ := echo(t, 300)
+	for _, n := range []int{0, 1, 255, 256, 299} {
+		got, err := say(dial(t, p, n), "hello", patience)
+		if err != nil || got != fmt.Sprintf("%d hello\n", n) {
+			t.Errorf("caller %d: %q, %v", n, got, err)
+		}
+	}
+	if _, err := say(dial(t, p, 300), "hello", patience); err == nil {
+		t.Error("a caller without a link was answered")
+	}
+}
+
+// A cut keeps open connections open and silent, lets no new one up, and harms no other caller.
+func TestCut(t *testing.T) {
+	for name, way := range map[string]Way{"to": To, "from": From, "both": Both} {
+		t.Run(name, func(t *testing.T) {
+			p, links := echo(t, 2)
+			open, other := dial(t, p, 0), dial(t, p, 1)
+			for _, c := range []net.Conn{open, other} {
+				if _, err := say(c, "before", patience); err != nil {
+					t.Fatal(err)
+				}
+			}
+			links[0].Set(func(r *Rules) { r.Cut = way })
+			if err := p.Cut(0); err != nil {
+				t.Fatal(err)
+			}
+			if got, err := say(open, "during", shortly); !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("an open connection through the cut: %q, %v", got, err)
+			}
+			if c, err := net.DialTimeout("tcp4", p.Addr(0), shortly); err == nil {
+				c.Close()
+				t.Error("a new connection came up through the cut")
+			} else if !os.IsTimeout(err) {
+				t.Errorf("a new connection failed at once: %v", err)
+			}
+			for _, c := range []net.Conn{other, dial(t, p, 1)} {
+				if _, err := say(c, "unharmed", patience); err != nil {
+					t.Errorf("another caller: %v", err)
+				}
+			}
+			links[0].Set(func(r *Rules) { r.Cut = 0 })
+			if err := p.Heal(0); err != nil {
+				t.Fatal(err)
+			}
+			_ = open.SetDeadline(time.Now().Add(patience))
+			if got, err := bufio.NewReader(open).ReadString('\n'); got != "0 during\n" {
+				t.Errorf("what was on its way came as %q, %v", got, err)
+			}
+			if _, err := say(dial(t, p, 0), "after", patience); err != nil {
+				t.Errorf("a new connection after the cut: %v", err)
+			}
+		})
+	}
+}
+
+// The party cannot see a close through a cut, but the lab can.
+func TestPeerCloseIsSeenThroughCut(t *testing.T) {
+	link := NewLink(Rules{}, 1)
+	closed := make(chan struct{})
+	p, err := Listen(func(int) *Link { return link }, func(c *Conn) {
+		c.OnPeerClose(sync.OnceFunc(func() { close(closed) }))
+		_, _ = io.Copy(io.Discard, c)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	c := dial(t, p, 0)
+	if _, err := io.WriteString(c, "x"); err != nil {
+		t.Fatal(err)
+	}
+	link.Set(func(r *Rules) { r.Cut = To })
+	if _, err := io.WriteString(c, "y"); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	select {
+	case <-closed:
+	case <-time.After(patience):
+		t.Error("the close was not seen")
+	}
+}
+
+func TestLatencyAndBandwidth(t *testing.T) {
+	p, links := echo(t, 1)
+	c := dial(t, p, 0)
+	const latency = 30 * time.Millisecond
+	links[0].Set(func(r *Rules) { r.Latency = latency })
+	began := time.Now()
+	if _, err := say(c, "slow", patience); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took < 2*latency {
+		t.Errorf("there and back took %v, one way is %v", took, latency)
+	}
+	links[0].Set(func(r *Rules) { r.Latency, r.Bandwidth = 0, 10_000 })
+	began = time.Now()
+	if _, err := say(c, strings.Repeat("x", 1000), patience); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took < 190*time.Millisecond {
+		t.Errorf("2,000 bytes at 10,000 a second took %v", took)
+	}
+}
+
+func TestBrokenConnections(t *testing.T) {
+	reset := func(err error) bool { return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) }
+	t.Run("reset", func(t *testing.T) {
+		p, _ := echo(t, 1)
+		c := dial(t, p, 0)
+		if _, err := say(c, "before", patience); err != nil {
+			t.Fatal(err)
+		}
+		p.Each(0, (*Conn).Reset)
+		if _, err := say(c, "after", patience); !reset(err) {
+			t.Errorf("after the reset: %v", err)
+		}
+	})
+	t.Run("refuse", func(t *testing.T) {
+		p, links := echo(t, 1)
+		links[0].Set(func(r *Rules) { r.Refuse = true })
+		if c, err := net.Dial("tcp4", p.Addr(0)); err == nil {
+			if _, err = say(c, "x", patience); err == nil {
+				t.Error("a refused connection was answered")
+			}
+			c.Close()
+		}
+	})
+	t.Run("down", func(t *testing.T) {
+		p, _ := echo(t, 1)
+		addr := p.Addr(0)
+		p.Shut()
+		if _, err := net.Dial("tcp4", addr); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("a party that is down: %v", err)
+		}
+		if err := p.Open(); err != nil {
+			t.Fatal(err)
+		}
+		if p.Addr(0) != addr {
+			t.Error("it came back at another address")
+		}
+		if _, err := say(dial(t, p, 0), "again", patience); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Run("break", func(t *testing.T) {
+		p, links := echo(t, 1)
+		links[0].Set(func(r *Rules) { r.Break = 100 })
+		c := dial(t, p, 0)
+		if _, err := say(c, "short", patience); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := say(c, strings.Repeat("x", 200), patience); err == nil {
+			t.Error("200 bytes passed a link that breaks after 100")
+		}
+	})
+	t.Run("half-close", func(t *testing.T) {
+		p, links := echo(t, 1)
+		links[0].Set(func(r *Rules) { r.HalfClose = true })
+		got, err := say(dial(t, p, 0), strings.Repeat("x", 100), patience)
+		if err != io.EOF || len(got) != 16 {
+			t.Errorf("%d bytes, %v", len(got), err)
+		}
+	})
+	t.Run("lose", func(t *testing.T) {
+		lost := 0
+		c := &Conn{link: NewLink(Rules{Lose: 0.3}, 7)}
+		for range 1000 {
+			if c.Loses() {
+				lost++
+			}
+		}
+		if lost < 240 || lost > 360 {
+			t.Errorf("%d of 1000 answers lost, 300 wanted", lost)
+		}
+	})
+}
+
+func TestTooManyCut(t *testing.T) {
+	p, _ := echo(t, 1)
+	var err error
+	for n := 0; n <= maxCallers && err == nil; n++ {
+		err = p.Cut(n)
+	}
+	if err == nil || !strings.Contains(err.Error(), "at most") {
+		t.Errorf("cutting off %d callers: %v", maxCallers+1, err)
+	}
+}
