Stand in for stock servers: cores, pod limits, queues, jams and cold starts

The model is fed with a clock and moves one timer a pod; the sockets are thin around it. Work is done first come, first served on the cores; sharing them among slots was not taken, as a queue makes many servers cheap and the sums hardly differ. A cold server falls over by the settings' rule. Measured by a property test: over 100 drawn loads all work is done once and never faster than the cores allow; a pod limit of half doubles the time; a jam comes after its second and goes when idle.

--- /dev/null
+++ b/internal/lab/stock/model_test.go
@@ -0,0 +1,134 @@
+package stock
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// feed puts jobs into a model and runs the clock until all are done; it returns when each was complete.
+func feed(g *group, m *model, works []float64, gap time.Duration) []time.Duration {
+	ends := make([]time.Duration, len(works))
+	done := 0
+	now := time.Duration(0)
+	step := func(to time.Duration) {
+		now = to
+		complete, _ := g.advance(now)
+		for _, j := range complete {
+			j.done(true)
+		}
+	}
+	for i, w := range works {
+		for next := g.next(now); next < time.Duration(i)*gap; next = g.next(now) {
+			step(next)
+		}
+		step(time.Duration(i) * gap)
+		j := &job{work: w, left: w, where: queued}
+		j.done = func(bool) { ends[i], done = now, done+1 }
+		m.queue = append(m.queue, j)
+		step(now)
+	}
+	for done < len(works) {
+		step(g.next(now))
+	}
+	return ends
+}
+
+// All work is done, none twice, and no faster than the cores allow.
+func TestWorkIsConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spec := Spec{Cores: rapid.IntRange(1, 4).Draw(t, "cores"), Speed: rapid.Float64Range(0.3, 2).Draw(t, "speed"),
+			ColdFrom: 0.2, ColdTime: time.Second}
+		m := newModel(spec)
+		g := &group{limit: rapid.Float64Range(0.3, 1).Draw(t, "limit"), models: []*model{m}}
+		works := rapid.SliceOfN(rapid.Float64Range(1, 200), 1, 40).Draw(t, "works")
+		gap := time.Duration(rapid.IntRange(0, 50).Draw(t, "gap")) * time.Millisecond
+		sum, last := 0.0, time.Duration(0)
+		for _, w := range works {
+			sum += w
+		}
+		for _, e := range feed(g, m, works, gap) {
+			last = max(last, e)
+		}
+		if math.Abs(m.worked-sum) > 1e-3*float64(len(works)) {
+			t.Fatalf("%v of work done, %v asked for", m.worked, sum)
+		}
+		fastest := sum / (float64(spec.Cores) * spec.Speed)
+		if ms := float64(last) / float64(time.Millisecond); ms < fastest-0.01 {
+			t.Fatalf("all done after %v ms, %v at best", ms, fastest)
+		}
+	})
+}
+
+func TestPodLimitSlowsAllAlike(t *testing.T) {
+	a, b := newModel(Spec{Cores: 1, Speed: 1}), newModel(Spec{Cores: 1, Speed: 1})
+	g := &group{limit: 0.5, models: []*model{a, b}}
+	var at [2]time.Duration
+	now := time.Duration(0)
+	for i, m := range g.models {
+		j := &job{work: 100, left: 100, where: queued}
+		j.done = func(bool) { at[i] = now }
+		m.queue = append(m.queue, j)
+	}
+	for now != never {
+		complete, _ := g.advance(now)
+		for _, j := range complete {
+			j.done(true)
+		}
+		now = g.next(now)
+	}
+	for _, end := range at {
+		if end.Round(time.Millisecond) != 200*time.Millisecond {
+			t.Errorf("two servers that share half of their capacity end after %v", at)
+		}
+	}
+}
+
+func TestColdServerIsPushedOverByWhatIsTooMuch(t *testing.T) {
+	spec := Spec{Cores: 2, Speed: 1, ColdFrom: 0.2, ColdTime: 10 * time.Second, FallMultiple: 4, FallTime: 3 * time.Second}
+	// At the start it can do 0.4 a millisecond; four times that for 3 s are 4,800, and some are forgiven.
+	for _, c := range []struct {
+		total float64
+		falls bool
+	}{{4700, false}, {5600, true}} {
+		m := newModel(spec)
+		m.boot = 0
+		fell := false
+		for sent := 0.0; sent < c.total; sent += 100 {
+			fell = fell || m.topples(time.Millisecond, 100)
+		}
+		if fell != c.falls {
+			t.Errorf("%v of work at once: fell over is %v", c.total, fell)
+		}
+	}
+	warm := newModel(spec)
+	for range 1000 {
+		if warm.topples(time.Millisecond, 100) {
+			t.Fatal("a warm server fell over")
+		}
+	}
+}
+
+func TestJamComesAndGoes(t *testing.T) {
+	spec := Spec{Cores: 1, Speed: 1, Jam: Jam{At: 3, Over: time.Second, Slower: 2, Below: 0.5, Rest: time.Second, Most: time.Minute}}
+	m := newModel(spec)
+	g := &group{limit: 1, models: []*model{m}}
+	for range 5 {
+		m.queue = append(m.queue, &job{left: 1000, work: 1000, where: queued, done: func(bool) {}})
+	}
+	jammed := []bool{}
+	for s := range 14 {
+		for part := range 20 {
+			g.advance(time.Duration(s)*time.Second + time.Duration(part)*50*time.Millisecond)
+		}
+		jammed = append(jammed, m.jammedAt >= 0)
+	}
+	// Crowded from the start; 1 s later it is half as fast, so the five end after 9 s; idle for 1 s, it is free.
+	for s, want := range map[int]bool{0: false, 2: true, 8: true, 12: false} {
+		if jammed[s] != want {
+			t.Errorf("after %d s jammed is %v: %v", s+1, jammed[s], jammed)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/stock/server.go
@@ -0,0 +1,457 @@
+package stock
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"marblelane/internal/lab/record"
+	"marblelane/internal/lab/relay"
+)
+
+// Ask is what a client sent, as a server has to find it.
+type Ask struct {
+	Method string
+	Class  int
+	Sum    uint64  // of the body
+	Work   float64 // milliseconds of a core of speed 1
+	Answer int     // bytes
+}
+
+// Book knows what clients have sent.
+type Book interface {
+	// Look finds a request that a client has sent, by its id.
+	Look(id uint64) (Ask, bool)
+}
+
+// Body is the one right answer to a request: whoever gets other bytes was served something else.
+func Body(id uint64, n int) []byte {
+	b := make([]byte, 0, n+16)
+	for x := id; len(b) < n; x = x*6364136223846793005 + 1442695040888963407 {
+		b = strconv.AppendUint(b, x, 16)
+		b = append(b, '\n')
+	}
+	return b[:n]
+}
+
+// Pod is servers that may share a limit, with the timer that moves them.
+type Pod struct {
+	log *record.Log
+
+	mu     sync.Mutex
+	group  group
+	timer  *time.Timer
+	due    time.Duration
+	closed bool
+}
+
+// NewPod makes an empty pod that has so much of its servers' capacity (1: all of it).
+func NewPod(log *record.Log, limit float64) *Pod {
+	p := &Pod{log: log, group: group{limit: limit}, due: never}
+	p.timer = time.AfterFunc(time.Hour, func() { p.change(func(time.Duration) {}) })
+	return p
+}
+
+// change brings the pod to now, applies a change and tells the jobs what has come of them.
+func (p *Pod) change(f func(now time.Duration)) {
+	p.mu.Lock()
+	now := p.log.Now()
+	complete, begin := p.group.advance(now)
+	f(now)
+	more, begin2 := p.group.advance(now)
+	begin = append(begin, begin2...)
+	complete = append(complete, more...)
+	if p.due = p.group.next(now); p.due != never && !p.closed {
+		p.timer.Reset(p.due - now)
+	}
+	p.mu.Unlock()
+	for _, j := range begin {
+		j.began()
+	}
+	for _, j := range complete {
+		j.done(true)
+	}
+}
+
+// Close stops the pod's timer.
+func (p *Pod) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.timer.Stop()
+}
+
+// Behaviour is what is wrong with a server for a while. The zero value is a sound one.
+type Behaviour struct {
+	Slow   float64 // times slower; 0: not
+	Fail   float64 // share of requests answered 500 at once
+	Hang   bool    // takes requests and does nothing
+	Drop   float64 // share of requests whose answer is never sent
+	Drain  bool    // turns all new requests away
+	Defect string  // planted: "wrong-body"
+}
+
+// Server is one stand-in.
+type Server struct {
+	Number int
+	Port   *relay.Port
+
+	log   *record.Log
+	book  Book
+	pod   *Pod
+	model *model
+	spec  Spec
+	probe float64 // work of a probe; negative: probes are not allowed
+
+	behave    atomic.Pointer[Behaviour]
+	overhears func(server, sidecar int, req *http.Request, body []byte)
+	conns     atomic.Int64
+	serial    atomic.Int32
+	up        atomic.Bool
+	// OnFall is called once when it is pushed over.
+	OnFall func()
+
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// Options are what a server is started with beside its spec.
+type Options struct {
+	Number int
+	Links  func(sidecar int) *relay.Link
+	Seed   uint64
+	Probe  float64 // milliseconds of work for each probe; negative: not allowed
+	// Overhears is told of each request that is whole, before it is judged; nil: nobody is.
+	Overhears func(server, sidecar int, req *http.Request, body []byte)
+}
+
+// Start adds a server to a pod and listens.
+func Start(log *record.Log, book Book, pod *Pod, spec Spec, o Options) (*Server, error) {
+	s := &Server{
+		Number: o.Number, overhears: o.Overhears, log: log, book: book, pod: pod, spec: spec, model: newModel(spec), probe: o.Probe,
+		rng: rand.New(rand.NewPCG(o.Seed, uint64(o.Number))),
+	}
+	s.behave.Store(&Behaviour{})
+	s.up.Store(true)
+	pod.change(func(time.Duration) { pod.group.models = append(pod.group.models, s.model) })
+	var err error
+	if s.Port, err = relay.Listen(o.Links, s.serve); err != nil {
+		return nil, fmt.Errorf("server %d: %w", o.Number, err)
+	}
+	return s, nil
+}
+
+// Behave changes what is wrong with it.
+func (s *Server) Behave(change func(*Behaviour)) {
+	s.mu.Lock()
+	b := *s.behave.Load()
+	change(&b)
+	s.behave.Store(&b)
+	s.mu.Unlock()
+	s.pod.change(func(time.Duration) {
+		s.model.slow, s.model.paused = max(b.Slow, 1), b.Hang
+	})
+}
+
+// Kill ends its process: connections are reset and new ones refused.
+func (s *Server) Kill() {
+	s.up.Store(false)
+	s.Port.Shut()
+	var lost []*job
+	s.pod.change(func(time.Duration) {
+		lost = append(append(lost, s.model.running...), s.model.queue...)
+		s.model.running, s.model.queue = nil, nil
+		for _, j := range lost {
+			j.where = nowhere
+		}
+	})
+	for _, j := range lost {
+		j.done(false)
+	}
+}
+
+// Boot starts its process again; it is cold.
+func (s *Server) Boot() error {
+	s.pod.change(func(now time.Duration) {
+		fresh := newModel(s.spec)
+		fresh.boot, fresh.worked = now, s.model.worked
+		*s.model = *fresh
+	})
+	s.up.Store(true)
+	if err := s.Port.Open(); err != nil {
+		return fmt.Errorf("server %d: %w", s.Number, err)
+	}
+	return nil
+}
+
+// Up tells whether its process runs.
+func (s *Server) Up() bool { return s.up.Load() }
+
+// Worked is the work it has done, in milliseconds of a core of speed 1.
+func (s *Server) Worked() float64 {
+	var w float64
+	s.pod.change(func(time.Duration) { w = s.model.worked })
+	return w
+}
+
+// Close ends it.
+func (s *Server) Close() {
+	s.Kill()
+	s.Port.Close()
+}
+
+func (s *Server) chance(share float64) bool {
+	if share <= 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Float64() < share
+}
+
+// visit is one request on a connection.
+type visit struct {
+	server *Server
+	conn   *relay.Conn
+	serial int16
+	id     uint64
+	job    *job
+	ended  chan struct{} // closed once nothing more is written for it
+	closed atomic.Bool   // its caller is seen to be gone
+}
+
+func (v *visit) note(k record.Kind, status int, sum uint64) {
+	v.server.log.Add(record.Event{Kind: k, Request: v.id, Sidecar: int32(v.conn.Caller),
+		Server: int32(v.server.Number), Attempt: v.serial, Status: int32(status), Sum: sum, Class: record.Nobody})
+}
+
+func (v *visit) gone() {
+	if !v.closed.Swap(true) {
+		v.note(record.Closed, 0, 0)
+	}
+}
+
+var errHung = errors.New("hung")
+
+// serve takes requests from one connection until it ends.
+func (s *Server) serve(c *relay.Conn) {
+	open := s.conns.Add(1)
+	defer s.conns.Add(-1)
+	serial := int16(s.serial.Add(1))
+	in := bufio.NewReaderSize(c, 4<<10)
+	extra := s.spec.Handshake // on the first request
+	for {
+		if s.spec.Idle > 0 {
+			_ = c.SetReadDeadline(time.Now().Add(s.spec.Idle)) // fails on a closed connection, as the read will
+		}
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		first := s.log.Now()
+		_ = c.SetReadDeadline(time.Time{})
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if s.spec.MaxConns > 0 && open > int64(s.spec.MaxConns) {
+			_, _ = io.Copy(io.Discard, req.Body)
+			_ = answer(c, 503, []byte("too many connections\n"), "X-Not-Processed: 1\r\nConnection: close\r\n")
+			return
+		}
+		if req.URL.Path != "/api" {
+			if s.aside(c, in, req) != nil {
+				return
+			}
+			continue
+		}
+		if err := s.one(c, in, req, first, serial, extra); err != nil {
+			return
+		}
+		extra = 0
+	}
+}
+
+// aside answers a probe, or what no client sends.
+func (s *Server) aside(c *relay.Conn, in *bufio.Reader, req *http.Request) error {
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return err
+	}
+	if s.probe < 0 || req.URL.Path != "/health/live" && req.URL.Path != "/stats" {
+		return answer(c, 404, nil, "")
+	}
+	status := 200
+	b := s.behave.Load()
+	if b.Drain {
+		status = 503
+	}
+	if b.Hang {
+		_, err := in.Peek(1) // until the caller has had enough
+		return errors.Join(err, errHung)
+	}
+	s.pod.change(func(time.Duration) { s.model.worked += s.probe })
+	return answer(c, status, nil, "")
+}
+
+// one serves one request.
+func (s *Server) one(c *relay.Conn, in *bufio.Reader, req *http.Request, first time.Duration, serial int16, extra float64) error {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return err
+	}
+	last := s.log.Now()
+	if s.overhears != nil {
+		s.overhears(s.Number, c.Caller, req, body)
+	}
+	v := &visit{server: s, conn: c, serial: serial, ended: make(chan struct{})}
+	id := req.Header.Get("X-Request-ID")
+	stray := func(note string) error {
+		s.log.Add(record.Event{Kind: record.Stray, Request: v.id, Sidecar: int32(c.Caller), Server: int32(s.Number),
+			Attempt: serial, Class: record.Nobody, Note: note})
+		return answer(c, 400, nil, "")
+	}
+	if id == "" {
+		return stray("without an id")
+	}
+	if v.id, err = strconv.ParseUint(id, 16, 64); err != nil {
+		return stray("with the id " + strconv.Quote(id))
+	}
+	ask, known := s.book.Look(v.id)
+	sum := record.Sum(body)
+	switch {
+	case !known:
+		return stray("with an id that no client sent")
+	case ask.Method != req.Method || ask.Sum != sum:
+		return stray(fmt.Sprintf("in another form: %s, body %016x", req.Method, sum))
+	}
+	event := record.Event{Kind: record.FirstByte, T: first, Request: v.id, Sidecar: int32(c.Caller),
+		Server: int32(s.Number), Attempt: serial, Class: int16(ask.Class)}
+	s.log.Add(event)
+	event.Kind, event.T, event.Sum = record.LastByte, last, sum
+	s.log.Add(event)
+	c.OnPeerClose(v.gone)
+	s.work(v, ask, extra)
+
+	// The next byte is the next request's; an end means that the caller does not wait any more.
+	_, err = in.Peek(1)
+	if err != nil {
+		select {
+		case <-v.ended:
+		default:
+			s.cancel(v)
+		}
+	}
+	<-v.ended
+	return err
+}
+
+// work decides what becomes of a request, and answers it when it is done.
+func (s *Server) work(v *visit, ask Ask, extra float64) {
+	b := s.behave.Load()
+	turn := func(why string) {
+		v.note(record.Turned, 503, 0)
+		s.finish(v, 503, []byte(why+"\n"), "X-Not-Processed: 1\r\n")
+	}
+	if b.Drain {
+		turn("draining")
+		return
+	}
+	if s.chance(b.Fail) {
+		v.note(record.Ran, 0, 0)
+		s.finish(v, 500, nil, "")
+		return
+	}
+	dropped := s.chance(b.Drop) || v.conn.Loses()
+	work := ask.Work + extra
+	j := &job{work: work, left: work}
+	v.job = j
+	j.began = func() { v.note(record.Ran, 0, 0) }
+	j.done = func(ran bool) {
+		if !ran || dropped {
+			if !ran {
+				close(v.ended)
+			} else {
+				go func() { // until the caller gives up
+					<-v.conn.Done()
+					close(v.ended)
+				}()
+			}
+			return
+		}
+		go s.finish(v, 200, s.body(v.id, ask.Answer), "")
+	}
+	full, fell := false, false
+	s.pod.change(func(now time.Duration) {
+		j.arrived = now
+		if s.model.topples(now, work) {
+			fell = true
+			return
+		}
+		if len(s.model.queue) >= s.spec.Queue+s.spec.Cores-len(s.model.running) {
+			full = true
+			return
+		}
+		j.where = queued
+		s.model.queue = append(s.model.queue, j)
+	})
+	switch {
+	case fell:
+		s.log.Add(record.Event{Kind: record.FellOver, Request: v.id, Sidecar: int32(v.conn.Caller),
+			Server: int32(s.Number), Class: record.Nobody, Note: "sent more than it can bear while cold"})
+		close(v.ended)
+		if s.OnFall != nil {
+			go s.OnFall()
+		}
+	case full:
+		turn("queue full")
+	}
+}
+
+func (s *Server) body(id uint64, n int) []byte {
+	if s.behave.Load().Defect == "wrong-body" {
+		return Body(id+1, n)
+	}
+	return Body(id, n)
+}
+
+// cancel takes back a request whose caller is gone.
+func (s *Server) cancel(v *visit) {
+	v.gone()
+	if v.job == nil {
+		return
+	}
+	stopped := false
+	s.pod.change(func(time.Duration) {
+		if v.job.where != nowhere && (v.job.where == queued || !s.spec.NoCancel) {
+			s.model.drop(v.job)
+			stopped = true
+		}
+	})
+	_ = v.conn.Close()
+	if stopped {
+		close(v.ended)
+	}
+}
+
+// finish writes the answer.
+func (s *Server) finish(v *visit, status int, body []byte, header string) {
+	defer close(v.ended)
+	if err := answer(v.conn, status, body, header); err != nil {
+		v.gone()
+		return
+	}
+	v.note(record.Replied, status, 0)
+}
+
+func answer(c *relay.Conn, status int, body []byte, header string) error {
+	b := make([]byte, 0, 128+len(body))
+	b = fmt.Appendf(b, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n", status, http.StatusText(status), header, len(body))
+	_, err := c.Write(append(b, body...))
+	return err
+}
