Read scenarios, and draw the whole run from one seed before it starts

A run has to be repeatable and a file that cannot be meant must not run. Scenario files are TOML; what they leave out is the operators' fleet. Unknown keys, missing units, negative rates, unknown zones and 12 more cases are one error with file, line and key (TestBadFilesNameFileLineAndKey). The plan (fleet, targets of faults, every arrival) comes from one seed through a stream of its own for each purpose, so that a change in one part moves no other; the schedule of one seed is compared by its bytes (TestScheduleIsTheSeeds).

--- /dev/null
+++ b/internal/lab/scenario/plan.go
@@ -0,0 +1,347 @@
+package scenario
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Plan is a scenario with everything drawn from one seed, before anything runs: the same seed gives the same
+// plan on any machine. What happens in a run is up to the parties; what is done to them is not.
+type Plan struct {
+	Scenario *Scenario
+	Seed     uint64
+	Servers  []ServerPlan
+	Pods     []PodPlan
+	Sidecars []SidecarPlan
+	Arrivals []Arrival
+	Faults   []FaultPlan
+	Rate     float64 // requests a second on average
+	Capacity float64 // of all servers, in work a millisecond
+}
+
+// ServerPlan is one server as drawn.
+type ServerPlan struct {
+	UID   string
+	Kind  int
+	Zone  int
+	Pod   int
+	Speed float64
+	Spare bool // it is down until it takes another one's place
+}
+
+// PodPlan is one pod as drawn.
+type PodPlan struct{ Limit float64 }
+
+// SidecarPlan is one sidecar as drawn.
+type SidecarPlan struct {
+	Name   string
+	Zone   int
+	Weight float64 // its share of the traffic
+	Seed   uint64
+}
+
+// Arrival is a client's request, before its retries.
+type Arrival struct {
+	At      time.Duration
+	Sidecar int
+	Class   int
+	Tenant  int
+	Work    float64 // milliseconds of a core of speed 1
+	Seed    uint64  // of what its client draws
+}
+
+// FaultPlan is a fault with its targets drawn.
+type FaultPlan struct {
+	At, Until time.Duration // equal: it happens once
+	Fault     Fault
+	Servers   []int
+	Sidecars  []int
+	Fresh     []int // the servers that take the places of Servers
+}
+
+// stream is a source of random numbers for one purpose, so that a change in one part of a plan moves no other.
+func stream(seed uint64, purpose string) *rand.Rand {
+	h := fnv.New64a()
+	io.WriteString(h, purpose)
+	return rand.New(rand.NewPCG(seed, h.Sum64()))
+}
+
+// Plan draws everything from the seed; 0 takes the scenario's own.
+func (s *Scenario) Plan(seed uint64) *Plan {
+	if seed == 0 {
+		seed = s.Seed
+	}
+	p := &Plan{Scenario: s, Seed: seed}
+	p.drawServers(stream(seed, "servers"))
+	p.drawSidecars(stream(seed, "sidecars"))
+	p.drawFaults(stream(seed, "faults"))
+	p.drawArrivals(stream(seed, "arrivals"))
+	return p
+}
+
+// Pace is a time of the scenario's clients and servers at the run's pace.
+func (s *Scenario) Pace(d Duration) time.Duration {
+	return time.Duration(math.Round(float64(d) / s.Traffic.Pace))
+}
+
+func (p *Plan) drawServers(r *rand.Rand) {
+	s := p.Scenario
+	var total float64
+	for _, k := range s.Servers.Kinds {
+		total += k.Share
+	}
+	// Kinds by their shares, not by chance: few servers of one draw would have another capacity than asked for.
+	kinds := make([]int, s.Servers.Count)
+	sum, k := s.Servers.Kinds[0].Share/total, 0
+	for i := range kinds {
+		for k+1 < len(s.Servers.Kinds) && (float64(i)+0.5)/float64(len(kinds)) > sum {
+			k++
+			sum += s.Servers.Kinds[k].Share / total
+		}
+		kinds[i] = k
+	}
+	r.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
+	pods := (s.Servers.Count + s.Servers.PodSize - 1) / s.Servers.PodSize
+	limited := int(math.Round(s.Servers.LimitedPods * float64(pods)))
+	order := r.Perm(pods)
+	p.Pods = make([]PodPlan, pods)
+	for i, pod := range order {
+		p.Pods[pod].Limit = 1
+		if i < limited {
+			p.Pods[pod].Limit = s.Servers.PodLimit.At(r.Float64())
+		}
+	}
+	capacity := make([]float64, pods)
+	for i, k := range kinds {
+		sp := ServerPlan{
+			Kind: k, Pod: i / s.Servers.PodSize, Speed: s.Servers.Kinds[k].Speed.At(r.Float64()),
+			UID: fmt.Sprintf("s-%08x", uint32(r.Uint64())),
+		}
+		sp.Zone = sp.Pod % len(s.Network.Zones) // a pod lies in one zone
+		p.Servers = append(p.Servers, sp)
+		capacity[sp.Pod] += float64(s.Servers.Kinds[k].Cores) * sp.Speed
+	}
+	for i, c := range capacity {
+		p.Capacity += c * p.Pods[i].Limit
+	}
+}
+
+func (p *Plan) drawSidecars(r *rand.Rand) {
+	s := p.Scenario
+	total := 0.0
+	for i := range s.Sidecars.Count {
+		w := 1.0
+		if cv := s.Sidecars.Skew; cv > 0 {
+			w = lognormal(r, cv)
+		}
+		total += w
+		p.Sidecars = append(p.Sidecars, SidecarPlan{
+			Name: fmt.Sprintf("n%d", i), Zone: i % len(s.Network.Zones), Weight: w, Seed: r.Uint64(),
+		})
+	}
+	for i := range p.Sidecars {
+		p.Sidecars[i].Weight /= total
+	}
+}
+
+// lognormal draws with mean 1 and the coefficient of variation cv.
+func lognormal(r *rand.Rand, cv float64) float64 {
+	v := math.Log1p(cv * cv)
+	return math.Exp(r.NormFloat64()*math.Sqrt(v) - v/2)
+}
+
+func (p *Plan) drawFaults(r *rand.Rand) {
+	s := p.Scenario
+	for _, f := range s.Faults {
+		one := FaultPlan{Fault: f, At: f.At.Of(), Until: f.At.Of() + f.For.Of()}
+		if f.Servers != "" {
+			one.Servers = p.pick(r, f.Servers, s.Servers.Count, true)
+		}
+		if f.Sidecars != "" {
+			one.Sidecars = p.pick(r, f.Sidecars, len(p.Sidecars), false)
+		}
+		if f.Every == 0 {
+			if f.Kind == "replace" {
+				one.Fresh = p.spares(one.Servers)
+			}
+			p.Faults = append(p.Faults, one)
+			continue
+		}
+		// Half of each period it is there, half of it not; what happens at once happens each time.
+		form := faultForms()[f.Kind]
+		for at := one.At; at < f.At.Of()+f.For.Of(); at += f.Every.Of() {
+			again := one
+			again.At, again.Until = at, at
+			if form.lasts {
+				again.Until = min(at+f.Every.Of()/2, one.Until)
+			}
+			p.Faults = append(p.Faults, again)
+		}
+	}
+	slices.SortStableFunc(p.Faults, func(a, b FaultPlan) int { return cmp.Compare(a.At, b.At) })
+}
+
+// spares adds a machine like each of the servers, under a name of its own.
+func (p *Plan) spares(like []int) []int {
+	var fresh []int
+	for _, i := range like {
+		sp := p.Servers[i]
+		sp.UID, sp.Spare = fmt.Sprintf("%s-%d", sp.UID, len(p.Servers)), true
+		fresh = append(fresh, len(p.Servers))
+		p.Servers = append(p.Servers, sp)
+	}
+	return fresh
+}
+
+// pick draws what a choice means; checkPick has read it before.
+func (p *Plan) pick(r *rand.Rand, pick string, n int, servers bool) []int {
+	var out []int
+	all := func(is func(int) bool) []int {
+		for i := range n {
+			if is(i) {
+				out = append(out, i)
+			}
+		}
+		return out
+	}
+	what, name, _ := strings.Cut(pick, ":")
+	switch {
+	case pick == "all":
+		return all(func(int) bool { return true })
+	case what == "zone":
+		zone := slices.Index(p.Scenario.Network.Zones, name)
+		return all(func(i int) bool {
+			if servers {
+				return p.Servers[i].Zone == zone
+			}
+			return p.Sidecars[i].Zone == zone
+		})
+	case what == "pod":
+		return all(func(i int) bool { return strconv.Itoa(p.Servers[i].Pod) == name })
+	case what == "kind":
+		return all(func(i int) bool { return p.Scenario.Servers.Kinds[p.Servers[i].Kind].Name == name })
+	case pick[0] == '#':
+		i, _ := strconv.Atoi(pick[1:])
+		return []int{i}
+	}
+	count := 0
+	if share, ok := strings.CutSuffix(pick, "%"); ok {
+		f, _ := strconv.ParseFloat(share, 64)
+		count = max(int(math.Round(f/100*float64(n))), 1)
+	} else {
+		count, _ = strconv.Atoi(pick)
+	}
+	out = r.Perm(n)[:count]
+	slices.Sort(out)
+	return out
+}
+
+func (p *Plan) drawArrivals(r *rand.Rand) {
+	s := p.Scenario
+	classes, meanWork := 0.0, 0.0
+	for _, c := range s.Classes {
+		classes += c.Share
+	}
+	for _, c := range s.Classes {
+		meanWork += c.Share / classes * c.Work.MS() / s.Traffic.Pace
+	}
+	p.Rate = s.Traffic.Rate
+	if p.Rate == 0 {
+		p.Rate = s.Traffic.Load * p.Capacity / meanWork * 1000
+	}
+	tenants := 0.0
+	for _, t := range s.Tenants {
+		tenants += t.Share * t.Usage
+	}
+	highest := p.Rate * (1 + s.Traffic.Swing)
+	for _, f := range p.Faults {
+		if f.Fault.Kind == "burst" {
+			highest = max(highest, p.Rate*(1+s.Traffic.Swing)*f.Fault.Size)
+		}
+	}
+	// A Poisson process of changing rate by thinning (Lewis and Shedler, 1979).
+	length := s.Length.Of()
+	for at := 0.0; ; {
+		at += r.ExpFloat64() / highest
+		t := time.Duration(at*1e6) * time.Microsecond
+		if t >= length {
+			return
+		}
+		if r.Float64()*highest > p.rateAt(t) {
+			continue
+		}
+		a := Arrival{At: t, Sidecar: p.weighted(r), Seed: r.Uint64()}
+		a.Class = drawShare(r, len(s.Classes), classes, func(i int) float64 { return s.Classes[i].Share })
+		a.Tenant = drawShare(r, len(s.Tenants), tenants, func(i int) float64 { return s.Tenants[i].Share * s.Tenants[i].Usage })
+		c := &s.Classes[a.Class]
+		w := 1.0
+		if c.CV > 0 {
+			w = lognormal(r, c.CV)
+		}
+		a.Work = math.Round(c.Work.MS()/s.Traffic.Pace*w*1000) / 1000
+		p.Arrivals = append(p.Arrivals, a)
+	}
+}
+
+func (p *Plan) rateAt(t time.Duration) float64 {
+	s := p.Scenario
+	rate := p.Rate * (1 - s.Traffic.Swing*math.Cos(2*math.Pi*float64(t)/float64(s.Length)))
+	for _, f := range p.Faults {
+		if f.Fault.Kind == "burst" && t >= f.At && t < f.Until {
+			rate *= f.Fault.Size
+		}
+	}
+	return rate
+}
+
+func (p *Plan) weighted(r *rand.Rand) int {
+	return drawShare(r, len(p.Sidecars), 1, func(i int) float64 { return p.Sidecars[i].Weight })
+}
+
+func drawShare(r *rand.Rand, n int, total float64, share func(int) float64) int {
+	x := r.Float64() * total
+	for i := range n {
+		if x -= share(i); x < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+// WriteTo writes the whole schedule, arrivals and faults, in one line each: two plans are the same if these bytes
+// are.
+func (p *Plan) WriteTo(w io.Writer) (int64, error) {
+	out := bufio.NewWriter(w)
+	n := int64(0)
+	line := func(format string, args ...any) {
+		k, _ := fmt.Fprintf(out, format, args...) // an error stays in out until Flush
+		n += int64(k)
+	}
+	line("scenario %s seed %d\n", p.Scenario.Name, p.Seed)
+	for i, s := range p.Servers {
+		line("server %d %s kind %d zone %d pod %d speed %.6f\n", i, s.UID, s.Kind, s.Zone, s.Pod, s.Speed)
+	}
+	for i, q := range p.Pods {
+		line("pod %d limit %.6f\n", i, q.Limit)
+	}
+	for i, s := range p.Sidecars {
+		line("sidecar %d zone %d weight %.6f seed %016x\n", i, s.Zone, s.Weight, s.Seed)
+	}
+	for _, f := range p.Faults {
+		line("fault %v to %v %s %g servers %v sidecars %v\n", f.At, f.Until, f.Fault.Kind, f.Fault.Size, f.Servers, f.Sidecars)
+	}
+	for _, a := range p.Arrivals {
+		line("%d us sidecar %d class %d tenant %d work %.3f seed %016x\n",
+			a.At.Microseconds(), a.Sidecar, a.Class, a.Tenant, a.Work, a.Seed)
+	}
+	return n, out.Flush()
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,554 @@
+// Package scenario reads what a run consists of: fleet, traffic, a timeline of faults, and what is expected.
+// A file that cannot be meant is one error that names file, line and key.
+package scenario
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Duration is a time in a file, written with its unit: "250ms", "10s".
+type Duration time.Duration
+
+// UnmarshalText reads a duration; a number without a unit is none.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no time: it needs a number and a unit (ms, s, m)", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalText writes a duration as it is read.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// Of is the duration as Go counts it.
+func (d Duration) Of() time.Duration { return time.Duration(d) }
+
+// MS is the duration in milliseconds.
+func (d Duration) MS() float64 { return float64(d) / float64(time.Millisecond) }
+
+// Range is two figures between which one is drawn for each thing.
+type Range [2]float64
+
+// At is the figure at a share of the range.
+func (r Range) At(share float64) float64 { return r[0] + (r[1]-r[0])*share }
+
+// Scenario is one run as its file has it. Zero values stand for the defaults that Load fills in.
+type Scenario struct {
+	Name   string   `toml:"-"`
+	Title  string   `toml:"title"`
+	Seed   uint64   `toml:"seed"`
+	Length Duration `toml:"length"`
+	// WarmUp is the first part of the run, which figures leave out; rules hold in it too.
+	WarmUp Duration `toml:"warm_up"`
+
+	Sidecars  Sidecars  `toml:"sidecars"`
+	Servers   Servers   `toml:"servers"`
+	Network   Network   `toml:"network"`
+	Traffic   Traffic   `toml:"traffic"`
+	Discovery Discovery `toml:"discovery"`
+	Rules     Rules     `toml:"rules"`
+	Classes   []Class   `toml:"class"`
+	Tenants   []Tenant  `toml:"tenant"`
+	Faults    []Fault   `toml:"fault"`
+	Expect    Expect    `toml:"expect"`
+}
+
+// Sidecars are the copies of the program.
+type Sidecars struct {
+	Count int `toml:"count"`
+	// Program is the program's file; empty: silverreel as the command finds it; "none": clients go straight to
+	// the servers in turn, the lab's own floor.
+	Program  string  `toml:"program"`
+	Cores    float64 `toml:"cores"`
+	MemoryMB int     `toml:"memory_mb"`
+	Sockets  int     `toml:"sockets"`
+	Skew     float64 `toml:"skew"` // coefficient of variation of their traffic
+}
+
+// Servers are the stand-ins behind them.
+type Servers struct {
+	Count       int      `toml:"count"`
+	PodSize     int      `toml:"pod_size"`
+	LimitedPods float64  `toml:"limited_pods"` // share of pods whose servers share a limit
+	PodLimit    Range    `toml:"pod_limit"`    // of their capacity
+	Kinds       []Kind   `toml:"kind"`
+	MaxConns    int      `toml:"max_conns"`
+	Handshake   Duration `toml:"handshake"` // work of a new connection
+	Idle        Duration `toml:"idle"`
+	Jam         bool     `toml:"jam"`
+	NoCancel    bool     `toml:"no_cancel"`
+	// FallMultiple is at what multiple they really fall over; 0: as the rules tell the sidecars.
+	FallMultiple float64 `toml:"fall_multiple"`
+}
+
+// Kind is one kind of machine.
+type Kind struct {
+	Name     string   `toml:"name"`
+	Share    float64  `toml:"share"`
+	Cores    int      `toml:"cores"`
+	Speed    Range    `toml:"speed"`
+	Queue    int      `toml:"queue"`
+	ColdFrom float64  `toml:"cold_from"`
+	Cold     Duration `toml:"cold"`
+}
+
+// Network is what lies between the parties when nothing is wrong.
+type Network struct {
+	Zones  []string `toml:"zones"`
+	Same   Duration `toml:"same"`  // one way inside a zone
+	Cross  Duration `toml:"cross"` // one way between zones
+	Jitter float64  `toml:"jitter"`
+}
+
+// Traffic is what clients do.
+type Traffic struct {
+	// Load is the share of the servers' capacity that is asked for; Rate, in requests a second, comes before it.
+	Load  float64 `toml:"load"`
+	Rate  float64 `toml:"rate"`
+	Swing float64 `toml:"swing"` // of the rate, up and down once in a run
+	// Pace divides work, aims and deadlines, so that a short run holds more requests.
+	Pace      float64  `toml:"pace"`
+	Retries   int      `toml:"retries"`
+	Backoff   Duration `toml:"backoff"`
+	TryShare  float64  `toml:"try_share"` // of a class's deadline, after which a try is given up
+	Honour    float64  `toml:"honour"`    // share of clients that obey Retry-After
+	Impatient float64  `toml:"impatient"` // share of tries whose client closes early
+	Answer    int      `toml:"answer"`    // bytes
+}
+
+// Discovery is when news reaches the sidecars.
+type Discovery struct {
+	Notice       Duration `toml:"notice"`        // that a server drains
+	SilentNotice Duration `toml:"silent_notice"` // that one is gone without a word
+	Add          Duration `toml:"add"`           // that one is there
+	Spread       Duration `toml:"spread"`        // from the first sidecar to the last
+}
+
+// Rules are the figures of the rules, as the sidecars' settings state them.
+type Rules struct {
+	DrainGrace   Duration `toml:"drain_grace"`
+	ColdFrom     float64  `toml:"cold_from"`
+	Cold         Duration `toml:"cold"`
+	FallMultiple float64  `toml:"fall_multiple"`
+	FallTime     Duration `toml:"fall_time"`
+	MaxAttempts  int      `toml:"max_attempts"`
+	AnswerSlack  Duration `toml:"answer_slack"`
+	CrossPrice   float64  `toml:"cross_price"`
+	Probes       bool     `toml:"probes"`
+}
+
+// Class is one class of requests.
+type Class struct {
+	Name     string   `toml:"name"`
+	Share    float64  `toml:"share"`
+	Work     Duration `toml:"work"` // mean, on a core of speed 1
+	CV       float64  `toml:"cv"`
+	Aim      Duration `toml:"aim"`
+	Deadline Duration `toml:"deadline"`
+	Worth    float64  `toml:"worth"`
+	Effect   string   `toml:"effect"` // "safe" or "unsafe"
+	Body     int      `toml:"body"`   // bytes of a request that has one
+}
+
+// Tenant is one customer.
+type Tenant struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`
+	Usage float64 `toml:"usage"` // of its share that it sends; 1: just that
+}
+
+// Fault is one thing that goes wrong, for a while or for good.
+type Fault struct {
+	At       Duration `toml:"at"`
+	For      Duration `toml:"for"` // 0: it happens once, or stays
+	Kind     string   `toml:"kind"`
+	Servers  string   `toml:"servers"`  // which, see [Pick]
+	Sidecars string   `toml:"sidecars"` // which
+	Size     float64  `toml:"size"`
+	Way      string   `toml:"way"`     // "to", "from", "both": of a cut
+	Latency  Duration `toml:"latency"` // of a slow link
+	Every    Duration `toml:"every"`   // it comes again after this, until For is over
+	Link     string   `toml:"link"`    // "servers" (default) or "discovery": which links of the sidecars
+}
+
+// Expect is what has to come out; a key that is absent expects nothing. Shares are of the run after its warm-up.
+type Expect struct {
+	InAim       *float64  `toml:"in_aim"`        // worth served in aim, at least
+	WorstInAim  *float64  `toml:"worst_in_aim"`  // in the worst 5 s, at least
+	Refused     *float64  `toml:"refused"`       // share of tries, at most
+	Failed      *float64  `toml:"failed"`        // share of tries, at most
+	Attempts    *float64  `toml:"attempts"`      // per try that was sent on, at most
+	CrossZone   *float64  `toml:"cross_zone"`    // share of attempts, at most
+	Waste       *float64  `toml:"waste"`         // share of servers' work, at most
+	P99         *Duration `toml:"p99"`           // of the time of answers that were served, at most
+	MemoryGrows *float64  `toml:"memory_growth"` // of a sidecar's RSS in the second half, at most
+	// Breaks names the rules that have to be broken: a scenario with a planted defect.
+	Breaks []string `toml:"breaks"`
+}
+
+// what each kind of fault wants.
+type faultForm struct {
+	servers, sidecars bool // it names some
+	lasts             bool // it needs a time to last
+	size              [2]float64
+	sized             bool
+}
+
+var inf = math.Inf(1)
+
+// FaultKinds lists the kinds of faults with the form of each.
+func faultForms() map[string]faultForm {
+	return map[string]faultForm{
+		"slow":       {servers: true, lasts: true, sized: true, size: [2]float64{1, 1000}},
+		"fail":       {servers: true, lasts: true, sized: true, size: [2]float64{0, 1}},
+		"hang":       {servers: true, lasts: true},
+		"drop":       {servers: true, lasts: true, sized: true, size: [2]float64{0, 1}},
+		"kill":       {servers: true},
+		"restart":    {servers: true, lasts: true},
+		"drain":      {servers: true},
+		"replace":    {servers: true},
+		"vanish":     {servers: true, lasts: true},
+		"cut":        {servers: true, sidecars: true, lasts: true},
+		"latency":    {servers: true, sidecars: true, lasts: true},
+		"bandwidth":  {servers: true, sidecars: true, lasts: true, sized: true, size: [2]float64{1, 1e12}},
+		"lose":       {servers: true, sidecars: true, lasts: true, sized: true, size: [2]float64{0, 1}},
+		"reset":      {servers: true, sidecars: true},
+		"refuse":     {servers: true, sidecars: true, lasts: true},
+		"half-close": {servers: true, sidecars: true, lasts: true},
+		"break":      {servers: true, sidecars: true, lasts: true, sized: true, size: [2]float64{1, 1e12}},
+
+		"sidecar-kill":    {sidecars: true, lasts: true},
+		"sidecar-restart": {sidecars: true},
+		"sidecar-freeze":  {sidecars: true, lasts: true},
+		"sidecar-upgrade": {sidecars: true},
+		"list-late":       {sidecars: true, lasts: true, sized: true, size: [2]float64{0, 600}},
+		"list-silent":     {sidecars: true, lasts: true},
+		"list-refuse":     {sidecars: true, lasts: true},
+		"list-move":       {},
+		"burst":           {lasts: true, sized: true, size: [2]float64{0, 100}},
+
+		"defect-send-twice":   {sidecars: true, lasts: true},
+		"defect-send-again":   {sidecars: true, lasts: true},
+		"defect-send-often":   {sidecars: true, lasts: true},
+		"defect-invent":       {sidecars: true, lasts: true},
+		"defect-lose-answer":  {sidecars: true, lasts: true},
+		"defect-answer-twice": {sidecars: true, lasts: true},
+		"defect-wrong-body":   {servers: true, lasts: true},
+		"defect-told-late":    {sidecars: true, lasts: true, sized: true, size: [2]float64{0, 600}},
+		"defect-ignore-drain": {sidecars: true, lasts: true},
+	}
+}
+
+// defaults fills in what the file leaves out: the operators' fleet, as their page has it.
+func (s *Scenario) defaults() {
+	or(&s.Seed, 1)
+	or(&s.Length, Duration(20*time.Second))
+	or(&s.Sidecars.Count, 4)
+	or(&s.Sidecars.Cores, 1)
+	or(&s.Sidecars.MemoryMB, 128)
+	or(&s.Sidecars.Sockets, 512)
+	or(&s.Servers.Count, 9)
+	or(&s.Servers.PodSize, 4)
+	or(&s.Servers.PodLimit, Range{0.4, 0.73})
+	or(&s.Servers.MaxConns, 1500)
+	or(&s.Servers.Handshake, Duration(2*time.Millisecond))
+	or(&s.Servers.Idle, Duration(5*time.Second))
+	if len(s.Network.Zones) == 0 {
+		s.Network.Zones = []string{"limerick-dc", "cork-dc"}
+	}
+	or(&s.Network.Same, Duration(200*time.Microsecond))
+	or(&s.Network.Cross, Duration(time.Millisecond))
+	if s.Traffic.Rate == 0 {
+		or(&s.Traffic.Load, 0.4)
+	}
+	or(&s.Traffic.Pace, 1)
+	or(&s.Traffic.TryShare, 0.5)
+	or(&s.Traffic.Answer, 1200)
+	or(&s.Discovery.Notice, Duration(2*time.Second))
+	or(&s.Discovery.SilentNotice, Duration(6*time.Second))
+	or(&s.Discovery.Add, Duration(1500*time.Millisecond))
+	or(&s.Discovery.Spread, Duration(100*time.Millisecond))
+	or(&s.Rules.DrainGrace, Duration(2*time.Second))
+	or(&s.Rules.ColdFrom, 0.17)
+	or(&s.Rules.Cold, Duration(24*time.Second))
+	or(&s.Rules.FallMultiple, 4)
+	or(&s.Rules.FallTime, Duration(3*time.Second))
+	or(&s.Rules.MaxAttempts, 3)
+	or(&s.Rules.AnswerSlack, Duration(20*time.Millisecond))
+	or(&s.Rules.CrossPrice, 0.1)
+	if len(s.Servers.Kinds) == 0 {
+		cold := Duration(18 * time.Second)
+		s.Servers.Kinds = []Kind{
+			{Name: "standard", Share: 0.41, Cores: 2, Speed: Range{0.85, 1.1}, Queue: 900, ColdFrom: 0.25, Cold: cold},
+			{Name: "older", Share: 0.59, Cores: 2, Speed: Range{0.51, 0.69}, Queue: 900, ColdFrom: 0.25, Cold: cold},
+		}
+	}
+	for i := range s.Servers.Kinds {
+		k := &s.Servers.Kinds[i]
+		or(&k.Cores, 2)
+		or(&k.Speed, Range{1, 1})
+		or(&k.Queue, 900)
+		or(&k.ColdFrom, 1)
+	}
+	ms := func(n int) Duration { return Duration(time.Duration(n) * time.Millisecond) }
+	if len(s.Classes) == 0 {
+		s.Classes = []Class{
+			{Name: "stock-lookup", Share: 0.42, Work: ms(80), CV: 0.5, Aim: ms(600), Deadline: ms(1500), Worth: 2, Effect: "safe"},
+			{Name: "shelf-count", Share: 0.29, Work: ms(85), CV: 0.6, Aim: ms(600), Deadline: ms(3000), Worth: 2, Effect: "safe"},
+			{Name: "parcel-issue", Share: 0.21, Work: ms(90), CV: 0.4, Aim: ms(600), Deadline: ms(1500), Worth: 8, Effect: "unsafe"},
+			{Name: "donation-intake", Share: 0.08, Work: ms(180), CV: 0.5, Aim: ms(1000), Deadline: ms(5000), Worth: 3, Effect: "unsafe"},
+		}
+	}
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		or(&c.Worth, 1)
+		or(&c.Effect, "safe")
+		if c.Effect == "unsafe" {
+			or(&c.Body, 200)
+		}
+	}
+	if len(s.Tenants) == 0 {
+		s.Tenants = []Tenant{{Name: "shannonside", Share: 0.53}, {Name: "midwest-pantry", Share: 0.25}, {Name: "lee-valley", Share: 0.22}}
+	}
+	for i := range s.Tenants {
+		or(&s.Tenants[i].Usage, 1)
+	}
+	for i := range s.Faults {
+		f := &s.Faults[i]
+		form := faultForms()[f.Kind]
+		if form.servers {
+			or(&f.Servers, "all")
+		}
+		if form.sidecars {
+			or(&f.Sidecars, "all")
+		}
+		if f.Kind == "cut" {
+			or(&f.Way, "both")
+		}
+		or(&f.Link, "servers")
+	}
+}
+
+func or[T comparable](v *T, otherwise T) {
+	var zero T
+	if *v == zero {
+		*v = otherwise
+	}
+}
+
+// check finds what cannot be meant; it names the key by its path in the file.
+func (s *Scenario) check() *keyError {
+	bad := func(key, format string, args ...any) *keyError {
+		return &keyError{key: key, text: fmt.Sprintf(format, args...)}
+	}
+	for _, v := range []struct {
+		key    string
+		v      float64
+		lo, hi float64
+	}{
+		{"length", float64(s.Length), 1e8, 24 * 3.6e12}, {"warm_up", float64(s.WarmUp), 0, float64(s.Length)},
+		{"sidecars.count", float64(s.Sidecars.Count), 1, 1000}, {"sidecars.cores", s.Sidecars.Cores, 0.01, 1024},
+		{"sidecars.memory_mb", float64(s.Sidecars.MemoryMB), 8, 1 << 20},
+		{"sidecars.sockets", float64(s.Sidecars.Sockets), 48, 1 << 20}, {"sidecars.skew", s.Sidecars.Skew, 0, 10},
+		{"servers.count", float64(s.Servers.Count), 1, 5000}, {"servers.pod_size", float64(s.Servers.PodSize), 1, 5000},
+		{"servers.limited_pods", s.Servers.LimitedPods, 0, 1},
+		{"servers.pod_limit", s.Servers.PodLimit[0], 0.01, s.Servers.PodLimit[1]},
+		{"servers.max_conns", float64(s.Servers.MaxConns), 1, 1 << 20},
+		{"servers.handshake", float64(s.Servers.Handshake), 0, inf}, {"servers.idle", float64(s.Servers.Idle), 1e8, inf},
+		{"servers.fall_multiple", s.Servers.FallMultiple, 0, inf},
+		{"network.same", float64(s.Network.Same), 0, 1e10}, {"network.cross", float64(s.Network.Cross), 0, 1e10},
+		{"network.jitter", s.Network.Jitter, 0, 1},
+		{"traffic.load", s.Traffic.Load, 0, 100}, {"traffic.rate", s.Traffic.Rate, 0, 1e6},
+		{"traffic.swing", s.Traffic.Swing, 0, 1}, {"traffic.pace", s.Traffic.Pace, 0.1, 100},
+		{"traffic.retries", float64(s.Traffic.Retries), 0, 10}, {"traffic.backoff", float64(s.Traffic.Backoff), 0, inf},
+		{"traffic.try_share", s.Traffic.TryShare, 0.01, 1}, {"traffic.honour", s.Traffic.Honour, 0, 1},
+		{"traffic.impatient", s.Traffic.Impatient, 0, 1}, {"traffic.answer", float64(s.Traffic.Answer), 0, 32 << 20},
+		{"discovery.notice", float64(s.Discovery.Notice), 0, inf}, {"discovery.add", float64(s.Discovery.Add), 0, inf},
+		{"discovery.silent_notice", float64(s.Discovery.SilentNotice), 0, inf},
+		{"discovery.spread", float64(s.Discovery.Spread), 0, inf},
+		{"rules.drain_grace", float64(s.Rules.DrainGrace), 0, inf}, {"rules.cold_from", s.Rules.ColdFrom, 0.01, 1},
+		{"rules.cold", float64(s.Rules.Cold), 0, inf}, {"rules.fall_multiple", s.Rules.FallMultiple, 0, inf},
+		{"rules.fall_time", float64(s.Rules.FallTime), 0, inf}, {"rules.max_attempts", float64(s.Rules.MaxAttempts), 1, 10},
+		{"rules.answer_slack", float64(s.Rules.AnswerSlack), 0, inf}, {"rules.cross_price", s.Rules.CrossPrice, 0, inf},
+	} {
+		if !(v.v >= v.lo && v.v <= v.hi) {
+			return bad(v.key, "is out of range")
+		}
+	}
+	for i, k := range s.Servers.Kinds {
+		key := fmt.Sprintf("servers.kind[%d]", i)
+		switch {
+		case k.Name == "":
+			return bad(key+".name", "is missing")
+		case !(k.Share > 0):
+			return bad(key+".share", "is not over 0")
+		case k.Cores < 1 || k.Cores > 1024:
+			return bad(key+".cores", "is out of range")
+		case !(k.Speed[0] > 0 && k.Speed[0] <= k.Speed[1]):
+			return bad(key+".speed", "is not two figures over 0, the smaller one first")
+		case k.Queue < 0:
+			return bad(key+".queue", "is negative")
+		case !(k.ColdFrom > 0 && k.ColdFrom <= 1) || k.Cold < 0:
+			return bad(key+".cold_from", "is not in (0, 1], or cold is negative")
+		}
+	}
+	zones := map[string]bool{}
+	for i, z := range s.Network.Zones {
+		if z == "" || zones[z] {
+			return bad(fmt.Sprintf("network.zones[%d]", i), "%q is not a name of its own", z)
+		}
+		zones[z] = true
+	}
+	if e := s.checkTraffic(bad); e != nil {
+		return e
+	}
+	for i := range s.Faults {
+		if e := s.checkFault(&s.Faults[i], fmt.Sprintf("fault[%d]", i), bad); e != nil {
+			return e
+		}
+	}
+	for i, b := range s.Expect.Breaks {
+		if !Rule(b) {
+			return bad(fmt.Sprintf("expect.breaks[%d]", i), "%q is no rule; the rules are %s", b, strings.Join(RuleNames(), ", "))
+		}
+	}
+	return nil
+}
+
+func (s *Scenario) checkTraffic(bad func(string, string, ...any) *keyError) *keyError {
+	names := map[string]bool{}
+	for i, c := range s.Classes {
+		key := fmt.Sprintf("class[%d]", i)
+		switch {
+		case c.Name == "" || names[c.Name]:
+			return bad(key+".name", "%q is not a name of its own", c.Name)
+		case !(c.Share > 0):
+			return bad(key+".share", "is not over 0")
+		case c.Work <= 0:
+			return bad(key+".work", "is not over 0")
+		case c.Aim <= 0 || c.Deadline < c.Aim:
+			return bad(key+".aim", "is not over 0 and at most the deadline")
+		case c.CV < 0 || c.Worth < 0:
+			return bad(key+".cv", "or worth is negative")
+		case c.Effect != "safe" && c.Effect != "unsafe":
+			return bad(key+".effect", "%q is neither safe nor unsafe", c.Effect)
+		case c.Body < 0 || c.Body > 32<<20 || c.Effect == "safe" && c.Body > 0:
+			return bad(key+".body", "cannot be: a safe class has none, others at most 32 MB")
+		}
+		names[c.Name] = true
+	}
+	for i, t := range s.Tenants {
+		if t.Name == "" || names["t:"+t.Name] || !(t.Share > 0) || t.Usage < 0 {
+			return bad(fmt.Sprintf("tenant[%d].name", i), "has no name of its own, or a share or usage that cannot be")
+		}
+		names["t:"+t.Name] = true
+	}
+	return nil
+}
+
+func (s *Scenario) checkFault(f *Fault, key string, bad func(string, string, ...any) *keyError) *keyError {
+	form, ok := faultForms()[f.Kind]
+	switch {
+	case !ok:
+		return bad(key+".kind", "%q is no kind of fault; the kinds are %s", f.Kind, strings.Join(FaultKinds(), ", "))
+	case f.At < 0 || f.At > s.Length:
+		return bad(key+".at", "lies outside the run")
+	case f.For < 0:
+		return bad(key+".for", "is negative")
+	case form.lasts && f.For == 0:
+		return bad(key+".for", "is missing: a %s lasts", f.Kind)
+	case !form.lasts && f.For > 0 && f.Every == 0:
+		return bad(key+".for", "is set, but a %s happens once", f.Kind)
+	case f.Kind == "replace" && f.Every > 0:
+		return bad(key+".every", "is set, but a server is replaced once")
+	case f.Every < 0 || f.Every > 0 && f.For == 0:
+		return bad(key+".every", "is negative, or there is no time in which it comes again")
+	case !form.servers && f.Servers != "":
+		return bad(key+".servers", "is set, but a %s concerns none", f.Kind)
+	case !form.sidecars && f.Sidecars != "":
+		return bad(key+".sidecars", "is set, but a %s concerns none", f.Kind)
+	case form.sized && !(f.Size >= form.size[0] && f.Size <= form.size[1]):
+		return bad(key+".size", "is not between %g and %g", form.size[0], form.size[1])
+	case !form.sized && f.Size != 0:
+		return bad(key+".size", "is set, but a %s has none", f.Kind)
+	case f.Way != "" && f.Kind != "cut":
+		return bad(key+".way", "is set, but only a cut has one")
+	case f.Kind == "cut" && f.Way != "to" && f.Way != "from" && f.Way != "both":
+		return bad(key+".way", "%q is none of to, from, both", f.Way)
+	case f.Kind == "latency" && f.Latency <= 0 || f.Kind != "latency" && f.Latency != 0:
+		return bad(key+".latency", "is over 0 for a latency and for nothing else")
+	case f.Link != "servers" && f.Link != "discovery":
+		return bad(key+".link", "%q is neither servers nor discovery", f.Link)
+	}
+	for _, one := range []struct {
+		key, pick string
+		n         int
+	}{{".servers", f.Servers, s.Servers.Count}, {".sidecars", f.Sidecars, s.Sidecars.Count}} {
+		if one.pick == "" {
+			continue
+		}
+		if err := s.checkPick(one.pick, one.n, one.key == ".servers"); err != nil {
+			return bad(key+one.key, "%v", err)
+		}
+	}
+	return nil
+}
+
+// checkPick reads a choice: "all", "3" (so many, drawn), "20%" (drawn), "#4" (that one), "zone:NAME",
+// and for servers "pod:N" and "kind:NAME".
+func (s *Scenario) checkPick(pick string, n int, servers bool) error {
+	what, name, _ := strings.Cut(pick, ":")
+	switch {
+	case pick == "all":
+		return nil
+	case what == "zone":
+		for _, z := range s.Network.Zones {
+			if z == name {
+				return nil
+			}
+		}
+		return fmt.Errorf("unknown zone %q; the zones are %s", name, strings.Join(s.Network.Zones, ", "))
+	case what == "pod" && servers:
+		if p, err := strconv.Atoi(name); err != nil || p < 0 || p*s.Servers.PodSize >= n {
+			return fmt.Errorf("there is no pod %q", name)
+		}
+		return nil
+	case what == "kind" && servers:
+		for _, k := range s.Servers.Kinds {
+			if k.Name == name {
+				return nil
+			}
+		}
+		return fmt.Errorf("unknown kind %q", name)
+	case strings.HasPrefix(pick, "#"):
+		if i, err := strconv.Atoi(pick[1:]); err != nil || i < 0 || i >= n {
+			return fmt.Errorf("there is no %s: they are #0 to #%d", pick, n-1)
+		}
+		return nil
+	case strings.HasSuffix(pick, "%"):
+		if p, err := strconv.ParseFloat(strings.TrimSuffix(pick, "%"), 64); err != nil || !(p > 0 && p <= 100) {
+			return fmt.Errorf("%q is no share", pick)
+		}
+		return nil
+	}
+	if i, err := strconv.Atoi(pick); err != nil || i < 1 || i > n {
+		return fmt.Errorf("%q is none of all, a number up to %d, #number, share%%, zone:name, pod:number, kind:name", pick, n)
+	}
+	return nil
+}
+
+// Read reads a scenario from a file.
+func Read(path string) (*Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	return Parse(path, text)
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario_test.go
@@ -0,0 +1,128 @@
+package scenario
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const good = `
+title = "x"
+length = "5s"
+
+[servers]
+count = 8
+
+[traffic]
+load = 0.5
+
+[[fault]]
+at = "1s"
+for = "2s"
+kind = "slow"
+servers = "25%"
+size = 3
+`
+
+func TestBadFilesNameFileLineAndKey(t *testing.T) {
+	if _, err := Parse("good.toml", []byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name, old, to string
+		line          int
+		key, text     string
+	}{
+		{"unknown key", `load = 0.5`, "load = 0.5\nlaod = 0.6", 10, "traffic.laod", "no such key"},
+		{"unknown table", `[traffic]`, "[trafic]", 8, "trafic", "no such key"},
+		{"no unit", `length = "5s"`, `length = "5"`, 3, "length", "needs a number and a unit"},
+		{"wrong unit", `length = "5s"`, `length = "5 kg"`, 3, "length", "needs a number and a unit"},
+		{"negative rate", `load = 0.5`, `rate = -3.0`, 9, "traffic.rate", "out of range"},
+		{"wrong type", `count = 8`, `count = "eight"`, 6, "servers.count", ""},
+		{"unknown zone", `servers = "25%"`, `servers = "zone:atlantis"`, 15, "fault[0].servers", `unknown zone "atlantis"`},
+		{"unknown fault", `kind = "slow"`, `kind = "sloow"`, 14, "fault[0].kind", "no kind of fault"},
+		{"too many servers", `servers = "25%"`, `servers = "9"`, 15, "fault[0].servers", "up to 8"},
+		{"no such server", `servers = "25%"`, `servers = "#8"`, 15, "fault[0].servers", "there is no #8"},
+		{"size", `size = 3`, `size = 0.5`, 16, "fault[0].size", "not between"},
+		{"no time", `for = "2s"`, ``, 0, "fault[0].for", "is missing"},
+		{"late fault", `at = "1s"`, `at = "6s"`, 12, "fault[0].at", "outside the run"},
+		{"way", `size = 3`, "size = 3\nway = \"up\"", 17, "fault[0].way", "only a cut"},
+		{"no toml", `[servers]`, `[servers`, 5, "", ""},
+		{"rule", `[traffic]`, "[expect]\nbreaks = [\"honesty\"]\n[traffic]", 9, "expect.breaks[0]", "no rule"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			text := strings.Replace(good, c.old, c.to, 1)
+			_, err := Parse("dir/bad.toml", []byte(text))
+			var e *Error
+			if !errors.As(err, &e) {
+				t.Fatalf("got %v", err)
+			}
+			if e.File != "dir/bad.toml" || !strings.Contains(e.Text, c.text) {
+				t.Errorf("got %v", err)
+			}
+			if c.line > 0 && e.Line != c.line || e.Line == 0 {
+				t.Errorf("line %d, want %d: %v", e.Line, c.line, err)
+			}
+			if c.key != "" && e.Key != c.key {
+				t.Errorf("key %q, want %q", e.Key, c.key)
+			}
+		})
+	}
+}
+
+func schedule(t testing.TB, s *Scenario, seed uint64) []byte {
+	var b bytes.Buffer
+	if _, err := s.Plan(seed).WriteTo(&b); err != nil {
+		t.Fatal(err)
+	}
+	return b.Bytes()
+}
+
+// The same seed gives the same bytes on any machine: the sum below was taken on one of them.
+func TestScheduleIsTheSeeds(t *testing.T) {
+	s, err := Parse("good.toml", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	one := schedule(t, s, 7)
+	if !bytes.Equal(one, schedule(t, s, 7)) {
+		t.Error("the same seed gave two schedules")
+	}
+	if bytes.Equal(one, schedule(t, s, 8)) {
+		t.Error("two seeds gave the same schedule")
+	}
+	const want = "509d43b888b3adfb"
+	if got := fmt.Sprintf("%x", sha256.Sum256(one))[:16]; got != want {
+		t.Errorf("schedule of seed 7 is %s, want %s", got, want)
+	}
+}
+
+// Whatever is drawn lies in the run and names parties that there are.
+func TestPlansAreSound(t *testing.T) {
+	s, err := Parse("good.toml", []byte(good+"\n[[fault]]\nat = \"1s\"\nkind = \"replace\"\nservers = \"50%\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		p := s.Plan(rapid.Uint64Range(1, 1<<60).Draw(t, "seed"))
+		last := p.Arrivals[0].At
+		for _, a := range p.Arrivals {
+			if a.At < last || a.At >= s.Length.Of() || a.Work < 0 || a.Sidecar >= len(p.Sidecars) {
+				t.Fatalf("arrival %+v after %v", a, last)
+			}
+			last = a.At
+		}
+		for _, f := range p.Faults {
+			for _, i := range append(f.Servers, f.Fresh...) {
+				if i >= len(p.Servers) || p.Servers[i].Spare != (i >= s.Servers.Count) {
+					t.Fatalf("fault %+v", f)
+				}
+			}
+		}
+	})
+}
