--- /dev/null
+++ b/internal/lab/agent/agent.go
@@ -0,0 +1,402 @@
+// Package agent stands in for discovery in the platform's form: each sidecar's own agent, which replies at once
+// with what it has been sent, keeps watches, and is silent while discovery is down.
+package agent
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"marblelane/internal/lab/record"
+	"marblelane/internal/lab/relay"
+)
+
+// beat is how often an empty line comes while nothing changes.
+const beat = 2 * time.Second
+
+// oldStays is how long an address that discovery has left keeps its open connections.
+const oldStays = 1500 * time.Millisecond
+
+// The states of an entry.
+const (
+	Ready       = "Ready"
+	Terminating = "Terminating"
+	Gone        = "Gone"
+)
+
+// Entry is one server as the list has it.
+type Entry struct {
+	Number   int     `json:"-"`
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Model    string  `json:"model"`
+	Pod      int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Capacity float64 `json:"capacity_hint"`
+	BootMS   int64   `json:"boot_ms"`
+}
+
+// List is an answer of discovery.
+type List struct {
+	Rev     int64   `json:"rev"`
+	All     bool    `json:"all"`
+	Targets []Entry `json:"targets"`
+}
+
+// Agents are the agents of all sidecars.
+type Agents struct {
+	log      *record.Log
+	endpoint func(sidecar, server int) string
+	views    []*view
+
+	mu    sync.Mutex
+	rev   int64
+	ports []*relay.Port
+	links func(sidecar int) *relay.Link
+	late  []*time.Timer
+	wg    sync.WaitGroup
+}
+
+// view is what one sidecar's agent holds.
+type view struct {
+	sidecar int
+	mu      sync.Mutex
+	rev     int64
+	entries map[int]Entry // by number
+	changed map[int]int64 // the revision of each one's last change
+	silent  bool
+	refuse  bool
+	delay   time.Duration // beside the news' own
+	defect  string
+	size    time.Duration
+	wake    chan struct{} // closed at each change
+}
+
+// New starts the agents with a list that all hold.
+func New(log *record.Log, sidecars int, list []Entry, endpoint func(sidecar, server int) string,
+	links func(sidecar int) *relay.Link) (*Agents, error) {
+	a := &Agents{log: log, endpoint: endpoint, links: links, rev: 1}
+	for i := range sidecars {
+		v := &view{sidecar: i, rev: 1, entries: map[int]Entry{}, changed: map[int]int64{}, wake: make(chan struct{})}
+		for _, e := range list {
+			v.entries[e.Number], v.changed[e.Number] = e, 1
+		}
+		a.views = append(a.views, v)
+	}
+	if err := a.open(); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+func (a *Agents) open() error {
+	p, err := relay.Listen(a.links, a.serve)
+	if err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	a.mu.Lock()
+	a.ports = append(a.ports, p)
+	a.mu.Unlock()
+	return nil
+}
+
+// Addr is where a sidecar finds its agent now.
+func (a *Agents) Addr(sidecar int) string { return a.Port().Addr(sidecar) }
+
+// Port is where all agents are called now.
+func (a *Agents) Port() *relay.Port {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ports[len(a.ports)-1]
+}
+
+// Move makes the agents listen at another port; the old one takes nothing new and closes a little later.
+func (a *Agents) Move() error {
+	old := a.Port()
+	if err := a.open(); err != nil {
+		return err
+	}
+	old.StopAccepting()
+	a.after(oldStays, old.Close)
+	return nil
+}
+
+// after calls f later, unless the agents are closed first.
+func (a *Agents) after(wait time.Duration, f func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.wg.Add(1)
+	a.late = append(a.late, time.AfterFunc(wait, func() {
+		defer a.wg.Done()
+		f()
+	}))
+}
+
+// Close ends all agents.
+func (a *Agents) Close() {
+	a.mu.Lock()
+	for _, t := range a.late {
+		if t.Stop() {
+			a.wg.Done()
+		}
+	}
+	ports := a.ports
+	a.mu.Unlock()
+	a.wg.Wait()
+	for _, p := range ports {
+		p.Close()
+	}
+}
+
+// Publish tells all agents of a change after its notice, the last one a spread later than the first.
+func (a *Agents) Publish(e Entry, notice, spread time.Duration) {
+	a.mu.Lock()
+	a.rev++
+	rev := a.rev
+	a.mu.Unlock()
+	for i, v := range a.views {
+		wait := notice
+		if len(a.views) > 1 {
+			wait += spread * time.Duration(i) / time.Duration(len(a.views)-1)
+		}
+		v.mu.Lock()
+		wait += v.delay
+		v.mu.Unlock()
+		a.after(wait, func() { v.set(e, rev) })
+	}
+}
+
+func (v *view) set(e Entry, rev int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.changed[e.Number] > rev {
+		return // a later one has overtaken it
+	}
+	v.entries[e.Number], v.changed[e.Number] = e, rev
+	v.rev = max(v.rev, rev)
+	v.stir()
+}
+
+func (v *view) stir() {
+	close(v.wake)
+	v.wake = make(chan struct{})
+}
+
+// Behave changes what is wrong with one sidecar's agent.
+func (a *Agents) Behave(sidecar int, change func(*Behaviour)) {
+	v := a.views[sidecar]
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	b := Behaviour{v.silent, v.refuse, v.delay, v.defect, v.size}
+	change(&b)
+	v.silent, v.refuse, v.delay, v.defect, v.size = b.Silent, b.Refuse, b.Delay, b.Defect, b.Size
+	v.stir()
+}
+
+// Behaviour is what is wrong with an agent.
+type Behaviour struct {
+	Silent bool          // says nothing at all
+	Refuse bool          // answers 503
+	Delay  time.Duration // of news that come while it is set
+	Defect string        // planted: "told-late", "ignore-drain"
+	Size   time.Duration // of the defect
+}
+
+// Known is the list as a sidecar's agent holds it, for the configuration of a sidecar that starts.
+func (a *Agents) Known(sidecar int) List {
+	v := a.views[sidecar]
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return a.since(v, -1)
+}
+
+// since gives what changed after a revision, or all. v.mu is held.
+func (a *Agents) since(v *view, after int64) List {
+	l := List{Rev: v.rev, All: after < 0 || after > v.rev, Targets: []Entry{}}
+	for _, n := range slices.Sorted(maps.Keys(v.entries)) {
+		e := v.entries[n]
+		if l.All && e.State == Gone || !l.All && v.changed[n] <= after {
+			continue
+		}
+		e.Endpoint = a.endpoint(v.sidecar, n)
+		l.Targets = append(l.Targets, e)
+	}
+	return l
+}
+
+// serve answers the calls on one connection.
+func (a *Agents) serve(c *relay.Conn) {
+	if c.Caller >= len(a.views) {
+		return
+	}
+	v := a.views[c.Caller]
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		req.Body.Close()
+		if a.answer(v, c, in, req) != nil || req.Close {
+			return
+		}
+	}
+}
+
+func (a *Agents) answer(v *view, c *relay.Conn, in *bufio.Reader, req *http.Request) error {
+	ended := make(chan struct{})
+	go func() { // the next byte, or the end
+		_, _ = in.Peek(1)
+		close(ended)
+	}()
+	defer func() {
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // wakes the goroutine above
+		<-ended
+		_ = c.SetReadDeadline(time.Time{})
+	}()
+	if !v.loud(ended) {
+		return errGone
+	}
+	v.mu.Lock()
+	refuse := v.refuse
+	v.mu.Unlock()
+	switch {
+	case refuse:
+		return write(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+	case req.URL.Path != "/registry/instances" || req.Method != http.MethodGet:
+		return write(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+	case req.URL.Query().Get("watch") == "":
+		v.mu.Lock()
+		l := a.since(v, -1)
+		v.mu.Unlock()
+		body, err := json.Marshal(l)
+		if err != nil {
+			return err
+		}
+		if err := write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)); err != nil {
+			return err
+		}
+		a.told(v, l)
+		return nil
+	}
+	after, err := strconv.ParseInt(req.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		after = -1
+	}
+	return a.watch(v, c, after, ended)
+}
+
+var errGone = errors.New("agent: the caller is gone")
+
+// loud waits until the agent speaks again.
+func (v *view) loud(ended <-chan struct{}) bool {
+	for {
+		v.mu.Lock()
+		silent, wake := v.silent, v.wake
+		v.mu.Unlock()
+		if !silent {
+			return true
+		}
+		select {
+		case <-wake:
+		case <-ended:
+			return false
+		}
+	}
+}
+
+// watch writes a line at each change until the connection ends.
+func (a *Agents) watch(v *view, c *relay.Conn, after int64, ended <-chan struct{}) error {
+	if err := write(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
+		return err
+	}
+	tick := time.NewTicker(beat)
+	defer tick.Stop()
+	first := true
+	for {
+		if !v.loud(ended) {
+			return errGone
+		}
+		v.mu.Lock()
+		wake, l := v.wake, a.since(v, after)
+		defect, size := v.defect, v.size
+		v.mu.Unlock()
+		if len(l.Targets) > 0 || first {
+			first = false
+			if after = l.Rev; defect != "" {
+				l = a.lie(v, l, defect, size, ended)
+			}
+			if len(l.Targets) > 0 || l.All {
+				line, err := json.Marshal(l)
+				if err != nil {
+					return err
+				}
+				if err := write(c, fmt.Sprintf("%x\r\n%s\n\r\n", len(line)+1, line)); err != nil {
+					return err
+				}
+				if defect == "" {
+					a.told(v, l)
+				}
+				continue
+			}
+		}
+		select {
+		case <-wake:
+		case <-ended:
+			return errGone
+		case <-tick.C:
+			v.mu.Lock()
+			silent := v.silent
+			v.mu.Unlock()
+			if !silent {
+				if err := write(c, "1\r\n\n\r\n"); err != nil {
+					return err
+				}
+			}
+		}
+	}
+}
+
+// lie is a planted defect: the record says that news were told which the sidecar gets late, or never.
+func (a *Agents) lie(v *view, l List, defect string, size time.Duration, ended <-chan struct{}) List {
+	a.told(v, l)
+	if defect == "told-late" {
+		select {
+		case <-time.After(size):
+		case <-ended:
+		}
+		return l
+	}
+	l.Targets = slices.DeleteFunc(l.Targets, func(e Entry) bool { return e.State != Ready })
+	return l
+}
+
+// told records what the sidecar knows from now on.
+func (a *Agents) told(v *view, l List) {
+	for _, e := range l.Targets {
+		a.log.Add(record.Event{Kind: record.Told, Sidecar: int32(v.sidecar), Server: int32(e.Number), Class: record.Nobody, Note: e.State})
+	}
+	if !l.All {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for n, e := range v.entries {
+		if e.State == Gone { // a whole list tells by leaving it out
+			a.log.Add(record.Event{Kind: record.Told, Sidecar: int32(v.sidecar), Server: int32(n), Class: record.Nobody, Note: Gone})
+		}
+	}
+}
+
+func write(c *relay.Conn, s string) error {
+	_, err := c.Write([]byte(s))
+	return err
+}
--- /dev/null
+++ b/internal/lab/invariant/invariant.go
@@ -0,0 +1,347 @@
+// Package invariant holds a run to the rules that no scenario may break, from the records of all parties.
+//
+// Each rule has a name, and a scenario with a planted defect that breaks it (lab/scenarios/defects). A breach
+// names one request and its path through every party. The time limits carry the pages' 50 ms for sockets.
+package invariant
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"marblelane/internal/lab/record"
+)
+
+// The rules.
+const (
+	OneAnswer   = "one-answer"    // each request that a running sidecar took gets one final answer
+	UnsafeOnce  = "unsafe-once"   // an unsafe request never runs twice, and is not sent again where it may have run
+	OneAtATime  = "one-at-a-time" // never two attempts of a request at once
+	MostTries   = "most-attempts" // at most so many attempts of a request
+	NoStray     = "no-stray"      // nothing reaches a server that no client sent in this form
+	Drain       = "drain"         // nothing new to a server that was told to drain, or gone, after the grace
+	Cold        = "cold"          // no cold server is pushed over
+	Body        = "body"          // a served body is the one a server made for this request
+	LimitsKept  = "limits"        // no copy goes over its memory or descriptors, or ends unasked
+	slack       = 50 * time.Millisecond
+	mostPrinted = 3 // breaches of a rule whose paths are kept
+)
+
+// Facts are what the records are held against.
+type Facts struct {
+	Unsafe      []bool // by class
+	MaxAttempts int
+	DrainGrace  time.Duration
+	MemoryMB    int // of a sidecar; 0: no limit
+	Sockets     int
+	End         time.Duration // of the run: what was sent within the last moments may have no end yet
+}
+
+// Breach is one rule broken.
+type Breach struct {
+	Rule    string   `json:"rule"`
+	At      float64  `json:"at_s"`
+	Request string   `json:"request,omitempty"`
+	Text    string   `json:"text"`
+	Path    []string `json:"path,omitempty"`
+}
+
+// Verdict is what all rules say of a run.
+type Verdict struct {
+	Counts   map[string]int `json:"counts"` // breaches by rule
+	Breaches []Breach       `json:"breaches"`
+	Checked  map[string]int `json:"checked"` // how many cases each rule was held to
+}
+
+// Broken lists the broken rules.
+func (v *Verdict) Broken() []string {
+	var names []string
+	for rule := range v.Counts {
+		names = append(names, rule)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// span is a time in which something held.
+type span struct{ from, to time.Duration }
+
+const forever = time.Duration(1<<63 - 1)
+
+func (s span) meets(from, to time.Duration) bool { return s.from <= to && from <= s.to }
+
+// checker walks the records.
+type checker struct {
+	facts  Facts
+	events []record.Event
+	byID   map[uint64][]int
+	out    *Verdict
+
+	down   map[int32][]span // a sidecar that does not run or is held
+	paused map[int32][]span // a sidecar that is frozen
+}
+
+// Check holds the events of a run, by time, to all rules.
+func Check(events []record.Event, facts Facts) *Verdict {
+	c := &checker{
+		facts: facts, events: events, byID: map[uint64][]int{}, down: map[int32][]span{}, paused: map[int32][]span{},
+		out: &Verdict{Counts: map[string]int{}, Checked: map[string]int{}},
+	}
+	for i := range events {
+		if id := events[i].Request; id != 0 {
+			c.byID[id] = append(c.byID[id], i)
+		}
+		if events[i].Kind == record.Process {
+			c.process(&events[i])
+		}
+	}
+	ids := make([]uint64, 0, len(c.byID))
+	for id := range c.byID {
+		ids = append(ids, id)
+	}
+	// In order of their first event, so that the same records give the same words.
+	slices.SortFunc(ids, func(a, b uint64) int { return cmp.Compare(c.byID[a][0], c.byID[b][0]) })
+	for _, id := range ids {
+		c.request(id, c.byID[id])
+	}
+	c.drains()
+	c.rest()
+	return c.out
+}
+
+// Notes of Process events, which the lab writes.
+const (
+	Started  = "started"
+	Serving  = "ready"
+	Stopping = "told to end"
+	Killed   = "killed"
+	Crashed  = "crashed"
+	Ended    = "ended"
+	Frozen   = "frozen"
+	Thawed   = "thawed"
+)
+
+// process follows when each sidecar could answer.
+func (c *checker) process(e *record.Event) {
+	closeLast := func(m map[int32][]span) {
+		if s := m[e.Sidecar]; len(s) > 0 && s[len(s)-1].to == forever {
+			s[len(s)-1].to = e.T
+		}
+	}
+	switch e.Note {
+	case Killed:
+		c.down[e.Sidecar] = append(c.down[e.Sidecar], span{e.T, forever})
+	case Serving:
+		closeLast(c.down)
+	case Frozen:
+		c.paused[e.Sidecar] = append(c.paused[e.Sidecar], span{e.T, forever})
+	case Thawed:
+		closeLast(c.paused)
+	}
+}
+
+func anyMeets(spans []span, from, to time.Duration) bool {
+	return slices.ContainsFunc(spans, func(s span) bool { return s.meets(from, to) })
+}
+
+func (c *checker) breach(rule string, at time.Duration, id uint64, path []int, format string, args ...any) {
+	c.out.Counts[rule]++
+	if c.out.Counts[rule] > mostPrinted {
+		return
+	}
+	b := Breach{Rule: rule, At: at.Seconds(), Text: fmt.Sprintf(format, args...)}
+	if id != 0 {
+		b.Request = fmt.Sprintf("%016x", id)
+	}
+	for _, i := range path {
+		b.Path = append(b.Path, c.events[i].String())
+	}
+	c.out.Breaches = append(c.out.Breaches, b)
+}
+
+// attempt is one send of a request to a server, from the server's records.
+type attempt struct {
+	server, conn int
+	from, to     time.Duration // last byte there; answered, or seen closed
+	turned       bool
+}
+
+// request checks one id on its own.
+func (c *checker) request(id uint64, path []int) {
+	var sent, answered []record.Event
+	var attempts []attempt
+	broke, unheard, second, unsafe := false, false, false, false
+	runs := 0
+	var last time.Duration
+	for _, i := range path {
+		e := c.events[i]
+		last = e.T
+		switch e.Kind {
+		case record.Sent:
+			sent = append(sent, e)
+			unsafe = c.facts.Unsafe[e.Class]
+		case record.Answered:
+			answered = append(answered, e)
+			if e.Status == 200 {
+				c.out.Checked[Body]++
+				if e.Sum != e.Want {
+					c.breach(Body, e.T, id, path, "the client got body %016x, the one made for it is %016x", e.Sum, e.Want)
+				}
+			}
+		case record.Broke:
+			broke = true
+		case record.Unheard:
+			unheard = e.Note != "the run was ended"
+		case record.SecondWord:
+			second = true
+		case record.Stray:
+			c.breach(NoStray, e.T, id, path, "server %d heard of sidecar %d a request %s", e.Server, e.Sidecar, e.Note)
+		case record.Ran:
+			runs++
+		case record.LastByte:
+			attempts = append(attempts, attempt{server: int(e.Server), conn: int(e.Attempt), from: e.T, to: forever})
+		case record.Turned, record.Replied, record.Closed:
+			for k := range attempts {
+				if a := &attempts[k]; a.server == int(e.Server) && a.conn == int(e.Attempt) && a.to == forever {
+					if e.Kind == record.Turned {
+						a.turned = true
+						continue // Replied tells the end
+					}
+					a.to = e.T
+				}
+			}
+		}
+	}
+	if len(sent) == 0 {
+		return
+	}
+	if len(attempts) > 0 {
+		c.out.Checked[NoStray]++
+	}
+	c.attempts(id, path, attempts, runs, unsafe)
+	c.out.Checked[OneAnswer]++
+	from := sent[0].T
+	owner := sent[0].Sidecar
+	switch {
+	case len(answered) > 1 || second:
+		c.breach(OneAnswer, last, id, path, "it was answered more than once")
+	case len(answered) == 1 || !broke && !unheard:
+	case anyMeets(c.down[owner], from, last) || anyMeets(c.paused[owner], from, last):
+		// What a killed sidecar had taken goes with it; a frozen one can give nothing.
+	case broke && len(attempts) == 0:
+		// The close crossed a request that had not been read, or failed one before anything was sent.
+	case broke:
+		c.breach(OneAnswer, last, id, path, "its connection was ended without a whole answer")
+	case from < c.facts.End-time.Second:
+		c.breach(OneAnswer, last, id, path, "no answer within 0.5 s of its time")
+	}
+}
+
+func (c *checker) attempts(id uint64, path []int, attempts []attempt, runs int, unsafe bool) {
+	c.out.Checked[MostTries]++
+	if len(attempts) > c.facts.MaxAttempts {
+		c.breach(MostTries, attempts[len(attempts)-1].from, id, path, "%d attempts, of %d", len(attempts), c.facts.MaxAttempts)
+	}
+	mayHave := 0
+	for _, a := range attempts {
+		if !a.turned {
+			mayHave++
+		}
+	}
+	if unsafe && len(attempts) > 0 {
+		c.out.Checked[UnsafeOnce]++
+		if runs > 1 {
+			c.breach(UnsafeOnce, attempts[0].from, id, path, "it ran %d times", runs)
+		} else if mayHave > 1 {
+			c.breach(UnsafeOnce, attempts[0].from, id, path, "it was sent again although it may have run")
+		}
+	}
+	if len(attempts) > 1 {
+		c.out.Checked[OneAtATime]++
+		for k := 1; k < len(attempts); k++ {
+			if attempts[k-1].to > attempts[k].from+slack {
+				c.breach(OneAtATime, attempts[k].from, id, path, "two attempts at once, at servers %d and %d", attempts[k-1].server, attempts[k].server)
+				break
+			}
+		}
+	}
+}
+
+// drains checks what was sent to servers that a sidecar knew to drain.
+func (c *checker) drains() {
+	type pair struct{ sidecar, server int32 }
+	told := map[pair]time.Duration{}
+	for i := range c.events {
+		e := &c.events[i]
+		p := pair{e.Sidecar, e.Server}
+		switch e.Kind {
+		case record.Told:
+			_, since := told[p]
+			if e.Note == "Ready" {
+				delete(told, p)
+			} else if !since {
+				told[p] = e.T
+				c.out.Checked[Drain]++
+			}
+		case record.Process:
+			if e.Note == Started { // a new process knows what it is told from now on
+				for p := range told {
+					if p.sidecar == e.Sidecar {
+						delete(told, p)
+					}
+				}
+			}
+		case record.FirstByte:
+			at, since := told[p]
+			if !since || e.T <= at+c.facts.DrainGrace+slack {
+				continue
+			}
+			// Who is frozen reads nothing: its grace begins when it wakes.
+			for _, s := range c.paused[e.Sidecar] {
+				if s.meets(at, e.T) {
+					at = max(at, s.to)
+				}
+			}
+			if e.T > at+c.facts.DrainGrace+slack {
+				c.breach(Drain, e.T, e.Request, c.byID[e.Request],
+					"sidecar %d sent to server %d %.0f ms after it was told that this one drains or is gone",
+					e.Sidecar, e.Server, float64(e.T-at)/1e6)
+			}
+		}
+	}
+}
+
+// rest checks what concerns no single request.
+func (c *checker) rest() {
+	for i := range c.events {
+		e := &c.events[i]
+		switch e.Kind {
+		case record.FellOver:
+			c.breach(Cold, e.T, e.Request, c.byID[e.Request], "server %d was pushed over: %s", e.Server, e.Note)
+		case record.ServerState:
+			if e.Note == "boots" {
+				c.out.Checked[Cold]++
+			}
+		case record.Stray:
+			if e.Request == 0 {
+				c.breach(NoStray, e.T, 0, nil, "server %d heard of sidecar %d a request %s", e.Server, e.Sidecar, e.Note)
+			}
+		case record.Sample:
+			if e.Sidecar == record.Nobody {
+				continue
+			}
+			c.out.Checked[LimitsKept]++
+			if c.facts.MemoryMB > 0 && e.N > int64(c.facts.MemoryMB)<<20 {
+				c.breach(LimitsKept, e.T, 0, nil, "sidecar %d has %.1f MB of %d", e.Sidecar, float64(e.N)/(1<<20), c.facts.MemoryMB)
+			}
+			if c.facts.Sockets > 0 && int(e.Status) > c.facts.Sockets {
+				c.breach(LimitsKept, e.T, 0, nil, "sidecar %d has %d descriptors of %d", e.Sidecar, e.Status, c.facts.Sockets)
+			}
+		case record.Process:
+			if e.Note == Crashed {
+				c.breach(LimitsKept, e.T, 0, nil, "sidecar %d ended unasked", e.Sidecar)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,753 @@
+// Package lab runs scenarios: copies of the real program between stand-ins for everything else, with faults
+// between them, on loopback addresses. docs/lab.md says how it is used and what it does not promise.
+//
+// The parties are the copies (child processes); all others are in this process, on one clock, and write down what
+// they see. Everything that is drawn is drawn before the run from one seed (package scenario); the rules are
+// checked after it from the records (package invariant).
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"marblelane/internal/lab/agent"
+	"marblelane/internal/lab/client"
+	"marblelane/internal/lab/copies"
+	"marblelane/internal/lab/invariant"
+	"marblelane/internal/lab/measure"
+	"marblelane/internal/lab/record"
+	"marblelane/internal/lab/relay"
+	"marblelane/internal/lab/scenario"
+	"marblelane/internal/lab/stock"
+)
+
+// NoProgram stands for no sidecars: clients go straight to the servers in turn.
+const NoProgram = "none"
+
+// Options are what a run needs beside its scenario.
+type Options struct {
+	Program  string // the sidecar's file, where the scenario names none
+	Seed     uint64 // 0: the scenario's
+	Dir      string // for the copies' files; empty: a temporary one that goes with the run
+	Progress io.Writer
+	Log      *slog.Logger // nil: none
+
+	freeAddr func(sidecar int) (string, error) // nil: freeAddr
+}
+
+// Report is what came of a run.
+type Report struct {
+	Scenario string             `json:"scenario"`
+	Title    string             `json:"title"`
+	Seed     uint64             `json:"seed"`
+	Sidecars int                `json:"sidecars"`
+	Servers  int                `json:"servers"`
+	Rate     float64            `json:"rate_per_s"`
+	LengthS  float64            `json:"length_s"`
+	Result   *measure.Result    `json:"result"`
+	Verdict  *invariant.Verdict `json:"rules"`
+	Missed   []string           `json:"missed"` // expectations that were not met
+	Lateness Lateness           `json:"lateness"`
+	Events   int                `json:"events"`
+}
+
+// Lateness is how well the lab kept its own times.
+type Lateness struct {
+	P99MS  float64 `json:"p99_ms"` // of arrivals behind their plan
+	MaxMS  float64 `json:"max_ms"`
+	LagMS  float64 `json:"lag_p99_ms"` // of a timer of the lab's process
+	TooBig bool    `json:"too_big"`
+}
+
+// A run does not count when the lab itself was late: the machine was busy, and what parties did at which time is
+// not known well enough to hold it against the sidecars.
+const (
+	lateP99 = 20 * time.Millisecond
+	lateMax = 400 * time.Millisecond
+)
+
+// The three ends of a run.
+const (
+	Pass = "PASS"
+	Fail = "FAIL"
+	Late = "LATE" // it does not count
+)
+
+// Outcome is how the run ended, with the reason.
+func (r *Report) Outcome() (end, reason string) {
+	if r.Lateness.TooBig {
+		return Late, fmt.Sprintf("the lab could not keep its times (arrivals %.0f ms late at the 99th percentile, %.0f ms at most; timers %.0f ms), so the run does not count",
+			r.Lateness.P99MS, r.Lateness.MaxMS, r.Lateness.LagMS)
+	}
+	var reasons []string
+	for _, rule := range r.Verdict.Broken() {
+		reasons = append(reasons, fmt.Sprintf("rule %s broken %d times", rule, r.Verdict.Counts[rule]))
+	}
+	reasons = append(reasons, r.Missed...)
+	if len(reasons) > 0 {
+		return Fail, strings.Join(reasons, "; ")
+	}
+	return Pass, ""
+}
+
+// run is a run under way.
+type run struct {
+	s        *scenario.Scenario
+	plan     *scenario.Plan
+	o        Options
+	log      *record.Log
+	out      *slog.Logger
+	dir      string
+	program  string
+	nursery  *copies.Nursery
+	book     *client.Book
+	pods     []*stock.Pod
+	servers  []*stock.Server
+	agents   *agent.Agents
+	sidecars []*sidecar
+	tampers  []*tamper
+
+	overheardBy atomic.Pointer[repeater]
+	repeated    atomic.Int64
+
+	linkMu sync.Mutex
+	links  map[[2]int]*relay.Link // by sidecar and server
+	disc   []*relay.Link          // by sidecar
+
+	wg       sync.WaitGroup // what a run does
+	watchers sync.WaitGroup // of processes; they end after those
+	failMu   sync.Mutex
+	failed   error
+}
+
+// Run plays a scenario. An error means that it could not be played; what the run shows is in the report.
+func Run(ctx context.Context, s *scenario.Scenario, o Options) (rep *Report, err error) {
+	r := &run{s: s, plan: s.Plan(o.Seed), o: o, out: o.Log, links: map[[2]int]*relay.Link{}, book: client.NewBook()}
+	if r.o.freeAddr == nil {
+		r.o.freeAddr = freeAddr
+	}
+	if r.out == nil {
+		r.out = slog.New(slog.DiscardHandler)
+	}
+	if r.program = s.Sidecars.Program; r.program == "" {
+		r.program = o.Program
+	}
+	if r.dir = o.Dir; r.dir == "" {
+		if r.dir, err = os.MkdirTemp("", "marblelane-lab-"); err != nil {
+			return nil, fmt.Errorf("lab: %w", err)
+		}
+		defer os.RemoveAll(r.dir)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer r.close(cancel)
+	if err := r.start(ctx); err != nil {
+		return nil, fmt.Errorf("lab: %w", err)
+	}
+	return r.play(ctx)
+}
+
+// start brings all parties up. The clock of the run starts when they are ready.
+func (r *run) start(ctx context.Context) error {
+	r.nursery = copies.NewNursery()
+	r.log = record.New()
+	for i := range r.plan.Sidecars {
+		r.disc = append(r.disc, relay.NewLink(relay.Rules{}, r.plan.Seed^uint64(i)))
+	}
+	var entries []agent.Entry
+	for _, p := range r.plan.Pods {
+		r.pods = append(r.pods, stock.NewPod(r.log, p.Limit))
+	}
+	for i := range r.plan.Servers {
+		if err := r.addServer(i); err != nil {
+			return err
+		}
+		if r.plan.Servers[i].Spare {
+			r.servers[i].Kill()
+			continue
+		}
+		entries = append(entries, r.entry(i, agent.Ready, 0))
+	}
+	if r.program == NoProgram {
+		return nil
+	}
+	var err error
+	r.agents, err = agent.New(r.log, len(r.plan.Sidecars), entries,
+		func(sidecar, server int) string { return r.servers[server].Port.Addr(sidecar) },
+		func(n int) *relay.Link {
+			if n >= len(r.disc) {
+				return nil
+			}
+			return r.disc[n]
+		})
+	if err != nil {
+		return err
+	}
+	return r.startSidecars(ctx)
+}
+
+// addServer starts the server of this number in the plan.
+func (r *run) addServer(i int) error {
+	p := &r.plan.Servers[i]
+	k := &r.s.Servers.Kinds[p.Kind]
+	spec := stock.Spec{
+		Cores: k.Cores, Speed: p.Speed, Queue: k.Queue, MaxConns: r.s.Servers.MaxConns,
+		Handshake: r.s.Servers.Handshake.MS() / r.s.Traffic.Pace, Idle: r.s.Servers.Idle.Of(), NoCancel: r.s.Servers.NoCancel,
+		ColdFrom: k.ColdFrom, ColdTime: k.Cold.Of(), FallMultiple: r.s.Rules.FallMultiple, FallTime: r.s.Rules.FallTime.Of(),
+	}
+	if r.s.Servers.FallMultiple > 0 {
+		spec.FallMultiple = r.s.Servers.FallMultiple
+	}
+	if r.s.Servers.Jam {
+		spec.Jam = stock.Jam{At: 5.5, Over: 2 * time.Second, Slower: 2.8, Below: 0.33, Rest: 3500 * time.Millisecond, Most: 25 * time.Second}
+	}
+	probe := -1.0
+	if r.s.Rules.Probes {
+		probe = 0.08
+	}
+	s, err := stock.Start(r.log, r.book, r.pods[p.Pod], spec, stock.Options{
+		Number: i, Seed: r.plan.Seed, Probe: probe,
+		Links: func(sidecar int) *relay.Link {
+			if sidecar >= len(r.plan.Sidecars) {
+				return nil
+			}
+			return r.link(sidecar, i)
+		},
+		Overhears: r.overhear,
+	})
+	if err != nil {
+		return err
+	}
+	s.OnFall = func() {
+		r.note(record.ServerState, record.Nobody, i, "is down for good")
+		s.Kill()
+	}
+	r.servers = append(r.servers, s)
+	return nil
+}
+
+func (r *run) link(sidecar, server int) *relay.Link {
+	r.linkMu.Lock()
+	defer r.linkMu.Unlock()
+	key := [2]int{sidecar, server}
+	l := r.links[key]
+	if l == nil {
+		rules := relay.Rules{Latency: r.s.Network.Same.Of(), Jitter: r.s.Network.Jitter}
+		if r.plan.Sidecars[sidecar].Zone != r.plan.Servers[server].Zone {
+			rules.Latency = r.s.Network.Cross.Of()
+		}
+		l = relay.NewLink(rules, r.plan.Seed^uint64(sidecar)<<32^uint64(server))
+		r.links[key] = l
+	}
+	return l
+}
+
+func (r *run) entry(i int, state string, bootMS int64) agent.Entry {
+	p := &r.plan.Servers[i]
+	return agent.Entry{Number: i, UID: p.UID, Zone: r.s.Network.Zones[p.Zone], Model: r.s.Servers.Kinds[p.Kind].Name,
+		Pod: p.Pod, State: state, Capacity: 1, BootMS: bootMS}
+}
+
+func (r *run) note(k record.Kind, sidecar, server int, note string) {
+	r.log.Add(record.Event{Kind: k, Sidecar: int32(sidecar), Server: int32(server), Class: record.Nobody, Note: note})
+}
+
+// fail keeps the first thing that made the run impossible.
+func (r *run) fail(err error) {
+	r.failMu.Lock()
+	defer r.failMu.Unlock()
+	if r.failed == nil && err != nil {
+		r.failed = err
+		r.out.Error("lab: the run cannot go on", "error", err)
+	}
+}
+
+// addr is where the clients of a sidecar connect.
+func (r *run) addr(i int) string {
+	if r.program == NoProgram {
+		// In turn, over all servers: a count would need a lock, and any spread is as good.
+		n := int(r.log.Now()/time.Microsecond) % r.s.Servers.Count
+		return r.servers[n].Port.Addr(i)
+	}
+	if t := r.tampers[i]; t != nil && *t.active.Load() != "" {
+		return t.addr
+	}
+	return r.sidecars[i].addr()
+}
+
+// play sends the arrivals and carries out the faults.
+func (r *run) play(ctx context.Context) (*Report, error) {
+	r.out.Info("lab: all parties are up", "sidecars", len(r.sidecars), "servers", len(r.servers), "seed", r.plan.Seed)
+	began := r.log.Now()
+	for i := range r.plan.Arrivals { // the plan's times are from here on
+		r.plan.Arrivals[i].At += began
+	}
+	playing, done := context.WithCancel(ctx)
+	defer done()
+	var lag []time.Duration
+	r.wg.Go(func() { lag = heartbeat(playing) })
+	r.wg.Go(func() { r.sample(playing) })
+	r.wg.Go(func() { r.faults(playing, began) })
+	load := &client.Load{Plan: r.plan, Log: r.log, Book: r.book, Addr: r.addr}
+	r.wg.Go(func() { r.progress(playing, began, load) })
+	lates := load.Run(ctx)
+	r.overheardBy.Store(nil)
+	done()
+	r.wg.Wait()
+	if err := context.Cause(ctx); err != nil {
+		return nil, fmt.Errorf("lab: ended early: %w", err)
+	}
+	r.measureAll()
+	r.stopSidecars()
+	r.watchers.Wait()
+	if r.failed != nil {
+		return nil, fmt.Errorf("lab: %w", r.failed)
+	}
+	worked := 0.0
+	for _, s := range r.servers {
+		worked += s.Worked()
+	}
+	all := r.log.Events()
+	for i := range all { // on the plan's clock
+		all[i].T -= began
+	}
+	for i := range r.plan.Arrivals {
+		r.plan.Arrivals[i].At -= began
+	}
+	return r.report(all, worked, lates, lag), nil
+}
+
+func (r *run) report(all []record.Event, worked float64, lates, lag []time.Duration) *Report {
+	s := r.s
+	facts := invariant.Facts{
+		MaxAttempts: s.Rules.MaxAttempts, DrainGrace: s.Rules.DrainGrace.Of(),
+		MemoryMB: s.Sidecars.MemoryMB, Sockets: s.Sidecars.Sockets, End: s.Length.Of(),
+	}
+	for _, c := range s.Classes {
+		facts.Unsafe = append(facts.Unsafe, c.Effect == "unsafe")
+	}
+	rep := &Report{
+		Scenario: s.Name, Title: s.Title, Seed: r.plan.Seed, Sidecars: len(r.plan.Sidecars), Servers: s.Servers.Count,
+		Rate: r.plan.Rate, LengthS: s.Length.Of().Seconds(), Events: len(all),
+		Result: measure.Of(r.plan, all, worked), Verdict: invariant.Check(all, facts),
+	}
+	quantile := func(d []time.Duration, q float64) time.Duration {
+		if len(d) == 0 {
+			return 0
+		}
+		d = slices.Clone(d)
+		slices.Sort(d)
+		return d[int(math.Ceil(q*float64(len(d)-1)))]
+	}
+	p99, most, lagP99 := quantile(lates, 0.99), quantile(lates, 1), quantile(lag, 0.99)
+	inMS := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	rep.Lateness = Lateness{P99MS: inMS(p99), MaxMS: inMS(most), LagMS: inMS(lagP99),
+		TooBig: p99 > lateP99 || most > lateMax || lagP99 > lateP99}
+	rep.Missed = missed(&s.Expect, rep)
+	return rep
+}
+
+// missed compares what came out with what was expected.
+func missed(e *scenario.Expect, r *Report) []string {
+	var out []string
+	f := &r.Result.Figures
+	least := func(name string, want *float64, got float64) {
+		if want != nil && got < *want {
+			out = append(out, fmt.Sprintf("%s is %.3f, expected at least %.3f", name, got, *want))
+		}
+	}
+	most := func(name string, want *float64, got float64) {
+		if want != nil && got > *want {
+			out = append(out, fmt.Sprintf("%s is %.3f, expected at most %.3f", name, got, *want))
+		}
+	}
+	least("in_aim", e.InAim, f.InAim)
+	least("worst_in_aim", e.WorstInAim, f.WorstInAim)
+	most("refused", e.Refused, f.Refused)
+	most("failed", e.Failed, f.Failed)
+	most("attempts", e.Attempts, f.Attempts)
+	most("cross_zone", e.CrossZone, f.CrossZone)
+	most("waste", e.Waste, f.Waste)
+	if e.P99 != nil {
+		want := e.P99.MS()
+		most("p99 (ms)", &want, f.P99)
+	}
+	for _, p := range r.Result.Sidecars {
+		most("memory_growth of "+p.Name, e.MemoryGrows, p.Growth)
+	}
+	return out
+}
+
+// heartbeat measures by how much a timer of this process is late, until ctx ends.
+func heartbeat(ctx context.Context) []time.Duration {
+	const every = 10 * time.Millisecond
+	var lag []time.Duration
+	t := time.NewTimer(every)
+	defer t.Stop()
+	for {
+		due := time.Now().Add(every)
+		t.Reset(every)
+		select {
+		case <-t.C:
+			lag = append(lag, max(time.Since(due), 0))
+		case <-ctx.Done():
+			return lag
+		}
+	}
+}
+
+// sampleEvery is how often the processes are measured.
+const sampleEvery = 500 * time.Millisecond
+
+func (r *run) sample(ctx context.Context) {
+	t := time.NewTicker(sampleEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			r.measureAll()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// measureAll writes down what each process uses now.
+func (r *run) measureAll() {
+	one := func(sidecar, pid int, before float64) {
+		u, err := copies.Measure(pid)
+		if err != nil {
+			return // it has just ended, which is written down elsewhere
+		}
+		r.log.Add(record.Event{Kind: record.Sample, Sidecar: int32(sidecar), Server: record.Nobody, Class: record.Nobody,
+			N: u.RSS, Status: int32(u.Descriptors), Work: u.CPU + before})
+	}
+	one(record.Nobody, os.Getpid(), 0)
+	for i, s := range r.sidecars {
+		for pid, before := range s.processes() {
+			one(i, pid, before)
+		}
+	}
+}
+
+// progress says now and then how far the run is.
+func (r *run) progress(ctx context.Context, began time.Duration, load *client.Load) {
+	if r.o.Progress == nil {
+		return
+	}
+	t := time.NewTicker(2 * time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			fmt.Fprintf(r.o.Progress, "%5.1f of %.0f s, %d requests under way\n",
+				(r.log.Now() - began).Seconds(), r.s.Length.Of().Seconds(), load.Live())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// close ends whatever runs, in any state.
+func (r *run) close(cancel func()) {
+	cancel()
+	r.wg.Wait()
+	for _, s := range r.sidecars {
+		s.kill()
+	}
+	r.nursery.Close()
+	r.watchers.Wait()
+	for _, t := range r.tampers {
+		if t != nil {
+			t.close()
+		}
+	}
+	if r.agents != nil {
+		r.agents.Close()
+	}
+	for _, s := range r.servers {
+		s.Close()
+	}
+	for _, p := range r.pods {
+		p.Close()
+	}
+}
+
+// settings is the object that the platform gives a sidecar, as its pages describe it.
+func (r *run) settings(i int) map[string]any {
+	s := r.s
+	ms := func(d scenario.Duration) float64 { return float64(s.Pace(d)) / float64(time.Millisecond) }
+	var classes, tenants []map[string]any
+	for _, c := range s.Classes {
+		effect := "read_like"
+		if c.Effect == "unsafe" {
+			effect = "non_idempotent"
+		}
+		classes = append(classes, map[string]any{"name": c.Name, "effect": effect, "group": "all", "on_time_ms": ms(c.Aim),
+			"hard_limit_ms": ms(c.Deadline), "worth": c.Worth, "late_worth": 0.0, "stream": false, "window_ms": 5000.0})
+	}
+	total := 0.0
+	for _, t := range s.Tenants {
+		total += t.Share
+	}
+	for _, t := range s.Tenants {
+		tenants = append(tenants, map[string]any{"name": t.Name, "share": t.Share / total,
+			"allowance_per_s": math.Round(r.plan.Rate / max(s.Traffic.Load, 0.1) * 0.83 * t.Share / total)})
+	}
+	var kinds []string
+	for _, k := range s.Servers.Kinds {
+		kinds = append(kinds, k.Name)
+	}
+	return map[string]any{
+		"classes": classes, "tenants": tenants, "kinds": kinds, "zones": s.Network.Zones, "zone": r.plan.Sidecars[i].Zone,
+		"discovery": "automatic", "my_number": i, "peers_total": len(r.plan.Sidecars), "over_share_worth": 0.2,
+		"quantum_ms": 5.0, "report": map[string]any{"fields": []string{}, "via": "silent"},
+		"result_mix": map[string]any{"whole": 0.3, "worst_class": 0.3, "worst_tenant": 0.1, "worst_window": 0.3},
+		"penalties":  map[string]any{"cross_zone": s.Rules.CrossPrice, "late_fail": 0.036, "probe": 0.01, "waste": 0.2},
+		"limits": map[string]any{"cancel": true, "conn_idle_ms": s.Servers.Idle.MS(), "connect_timeout_ms": 120.0,
+			"max_attempts": s.Rules.MaxAttempts, "max_retry_after_ms": 3000.0, "may_tell": false, "open_cap": 25000,
+			"parallel_tries": false, "probes": s.Rules.Probes, "retry_after": true},
+		"rules": map[string]any{"answer_slack_ms": s.Rules.AnswerSlack.MS(), "ask_within_ms": 10000.0,
+			"cold_from": s.Rules.ColdFrom, "cold_ms": s.Rules.Cold.MS(), "drain_grace_ms": s.Rules.DrainGrace.MS(),
+			"fall_ms": s.Rules.FallTime.MS(), "fall_multiple": s.Rules.FallMultiple},
+	}
+}
+
+// sidecar is one sidecar with its process, or two during an upgrade.
+type sidecar struct {
+	r       *run
+	number  int
+	dir     string
+	listen  string
+	config  string // file
+	mu      sync.Mutex
+	now     *copies.Copy
+	older   *copies.Copy
+	past    float64 // CPU seconds of processes that have ended
+	manages int
+}
+
+func (s *sidecar) addr() string { return s.listen }
+
+// processes are the living ones, with the CPU time of those before.
+func (s *sidecar) processes() map[int]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[int]float64{}
+	for _, c := range []*copies.Copy{s.now, s.older} {
+		if c == nil {
+			continue
+		}
+		select {
+		case <-c.Ended():
+		default:
+			out[c.PID] = s.past
+		}
+	}
+	return out
+}
+
+// startSidecars starts all and waits until each says that it serves.
+func (r *run) startSidecars(ctx context.Context) error {
+	r.tampers = make([]*tamper, len(r.plan.Sidecars))
+	for i := range r.plan.Sidecars {
+		s := &sidecar{r: r, number: i, dir: filepath.Join(r.dir, r.plan.Sidecars[i].Name)}
+		s.config = filepath.Join(s.dir, "config.json")
+		r.sidecars = append(r.sidecars, s)
+	}
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	errs := make(chan error, len(r.sidecars))
+	room := make(chan struct{}, 8) // at a time: starts are the costliest moment
+	for _, s := range r.sidecars {
+		r.wg.Go(func() {
+			room <- struct{}{}
+			defer func() { <-room }()
+			errs <- s.begin(ctx)
+		})
+	}
+	var all error
+	for range r.sidecars {
+		all = errors.Join(all, <-errs)
+	}
+	if all != nil {
+		return all
+	}
+	return r.prepareTampers()
+}
+
+const (
+	startWait  = 30 * time.Second
+	readyText  = "ready name="
+	portTrials = 3
+)
+
+// begin starts the sidecar on an address that is free. The platform reserves its addresses; here one may be
+// taken by someone else between the look and the start, so another is tried.
+func (s *sidecar) begin(ctx context.Context) error {
+	var err error
+	for range portTrials {
+		if s.listen, err = s.r.o.freeAddr(s.number); err != nil {
+			return err
+		}
+		if err = s.launch(ctx); err == nil || !strings.Contains(err.Error(), "address already in use") {
+			return err
+		}
+		s.r.out.Warn("lab: port taken, trying another", "sidecar", s.number, "address", s.listen)
+	}
+	return fmt.Errorf("sidecar %d: after %d ports: %w", s.number, portTrials, err)
+}
+
+// freeAddr finds a port on the loopback address of a sidecar's clients.
+func freeAddr(n int) (string, error) {
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 32+n>>16, n>>8&255, n&255))
+	if err != nil {
+		return "", fmt.Errorf("lab: no address for sidecar %d: %w", n, err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// launch starts a process and waits until it serves.
+func (s *sidecar) launch(ctx context.Context) error {
+	r, p := s.r, &s.r.plan.Sidecars[s.number]
+	tmp := filepath.Join(s.dir, "tmp")
+	if err := os.MkdirAll(tmp, 0o755); err != nil {
+		return fmt.Errorf("sidecar %d: %w", s.number, err)
+	}
+	if err := s.writeConfig(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.manages++
+	s.mu.Unlock()
+	c, err := r.nursery.Start(copies.Spec{
+		Name: p.Name, Path: r.program, Dir: s.dir, Sockets: r.s.Sidecars.Sockets,
+		Env: []string{"NODE_CONFIG=" + s.config, "NODE_NAME=" + p.Name, "NODE_LISTEN=" + s.listen,
+			"NODE_DISCOVERY=" + r.agents.Addr(s.number), "NODE_MANAGEMENT=" + hostOf(s.listen) + ":0", "TMPDIR=" + tmp},
+	})
+	if err != nil {
+		return fmt.Errorf("sidecar %d: %w", s.number, err)
+	}
+	r.note(record.Process, s.number, record.Nobody, invariant.Started)
+	s.mu.Lock()
+	s.older, s.now = s.now, c
+	s.mu.Unlock()
+	r.watchers.Go(func() { s.watch(c) })
+	if _, err := c.Await(ctx, readyText); err != nil {
+		c.Kill()
+		return fmt.Errorf("sidecar %d at %s: %w", s.number, s.listen, err)
+	}
+	r.note(record.Process, s.number, record.Nobody, invariant.Serving)
+	return nil
+}
+
+func hostOf(addr string) string {
+	host, _, _ := net.SplitHostPort(addr)
+	return host
+}
+
+// watch writes down how a process ended.
+func (s *sidecar) watch(c *copies.Copy) {
+	<-c.Ended()
+	note := invariant.Ended
+	if !c.Asked() || c.Err() != nil && !strings.Contains(c.Err().Error(), "signal: killed") {
+		note = invariant.Crashed
+	}
+	s.r.note(record.Process, s.number, record.Nobody, note)
+	if note == invariant.Crashed {
+		s.r.out.Error("lab: a copy ended unasked", "sidecar", s.number, "error", c.Err(), "log", c.Tail())
+	}
+}
+
+// writeConfig writes the configuration file with discovery's present address and list, whole or not at all.
+func (s *sidecar) writeConfig() error {
+	r, p := s.r, &s.r.plan.Sidecars[s.number]
+	data, err := json.MarshalIndent(map[string]any{
+		"name": p.Name, "listen": s.listen, "discovery": r.agents.Addr(s.number),
+		"management": hostOf(s.listen) + ":0", "seed": strconv.FormatUint(p.Seed+uint64(s.manages), 16),
+		"limits":   map[string]any{"cores": r.s.Sidecars.Cores, "memory_mb": r.s.Sidecars.MemoryMB, "sockets": r.s.Sidecars.Sockets},
+		"known":    r.agents.Known(s.number),
+		"settings": r.settings(s.number),
+	}, "", " ")
+	if err != nil {
+		return fmt.Errorf("sidecar %d: %w", s.number, err)
+	}
+	if err := os.WriteFile(s.config+".new", data, 0o644); err != nil {
+		return fmt.Errorf("sidecar %d: %w", s.number, err)
+	}
+	if err := os.Rename(s.config+".new", s.config); err != nil {
+		return fmt.Errorf("sidecar %d: %w", s.number, err)
+	}
+	return nil
+}
+
+// current is the newest process.
+func (s *sidecar) current() *copies.Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now
+}
+
+// stopWait is how long a process may take from SIGTERM to its end: the platform's longest, and some room.
+const stopWait = 6 * time.Second
+
+// stop ends a process in order.
+func (s *sidecar) stop(c *copies.Copy) {
+	s.r.note(record.Process, s.number, record.Nobody, invariant.Stopping)
+	if err := c.Signal(syscall.SIGTERM); err != nil {
+		s.r.fail(err)
+	}
+	select {
+	case <-c.Ended():
+	case <-time.After(stopWait):
+		s.r.note(record.Process, s.number, record.Nobody, invariant.Killed)
+		c.Kill()
+	}
+	s.retire(c)
+}
+
+// retire keeps the CPU time of a process that has ended.
+func (s *sidecar) retire(c *copies.Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.past += c.CPU()
+	if s.older == c {
+		s.older = nil
+	}
+}
+
+func (s *sidecar) kill() {
+	for _, c := range []*copies.Copy{s.older, s.now} {
+		if c != nil {
+			c.Kill()
+		}
+	}
+}
+
+func (r *run) stopSidecars() {
+	var wg sync.WaitGroup
+	for _, s := range r.sidecars {
+		wg.Go(func() {
+			if c := s.current(); c != nil {
+				s.stop(c)
+			}
+		})
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,223 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"marblelane/internal/lab/scenario"
+	"marblelane/lab/scenarios"
+)
+
+// silverreel is the real program, built once for all tests.
+var silverreel string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "lab-test-")
+	if err == nil {
+		silverreel = filepath.Join(dir, "silverreel")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", silverreel, "marblelane/cmd/silverreel").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "the sidecar cannot be built:", err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	if code == 0 {
+		if err := goleak.Find(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			code = 1
+		}
+	}
+	os.Exit(code)
+}
+
+func read(t *testing.T, name string) *scenario.Scenario {
+	t.Helper()
+	text, err := scenarios.Read(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := scenario.Parse(name+".toml", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func parse(t *testing.T, text string) *scenario.Scenario {
+	t.Helper()
+	s, err := scenario.Parse("test.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// play runs a scenario; a run in which the lab was late is played again, a few times.
+func play(t *testing.T, s *scenario.Scenario) *Report {
+	t.Helper()
+	var rep *Report
+	for range 3 {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+		defer cancel()
+		var err error
+		if rep, err = Run(ctx, s, Options{Program: silverreel, Dir: t.TempDir()}); err != nil {
+			t.Fatal(err)
+		}
+		if end, _ := rep.Outcome(); end != Late {
+			break
+		}
+	}
+	return rep
+}
+
+// Each rule has a planted defect that breaks it, and nothing else.
+func TestPlantedDefectsAreCaught(t *testing.T) {
+	caught := map[string]bool{}
+	t.Run("all", func(t *testing.T) {
+		for _, name := range scenarios.Names() {
+			if !strings.HasPrefix(name, "defects/") {
+				continue
+			}
+			s := read(t, name)
+			if len(s.Expect.Breaks) != 1 {
+				t.Errorf("%s plants %d defects", name, len(s.Expect.Breaks))
+				continue
+			}
+			caught[s.Expect.Breaks[0]] = true
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				rep := play(t, s)
+				end, reason := rep.Outcome()
+				want := s.Expect.Breaks[0]
+				if !slices.Contains(rep.Verdict.Broken(), want) {
+					t.Fatalf("%s: %s; want rule %s broken", end, reason, want)
+				}
+				if end == Late {
+					t.Log("the lab was late; that no other rule is broken was not looked at")
+					return
+				}
+				if end != Fail || len(rep.Verdict.Broken()) != 1 {
+					t.Errorf("%s: %s; want only rule %s broken", end, reason, want)
+				}
+				for _, b := range rep.Verdict.Breaches {
+					if b.Request != "" && len(b.Path) == 0 {
+						t.Errorf("the breach %q has no path", b.Text)
+					}
+				}
+			})
+		}
+	})
+	for _, rule := range scenario.RuleNames() {
+		if !caught[rule] {
+			t.Errorf("no scenario plants a defect against rule %s", rule)
+		}
+	}
+}
+
+const small = `
+title = "small"
+length = "2s"
+[sidecars]
+count = 2
+[servers]
+count = 3
+[network]
+zones = ["here"]
+`
+
+// What is open before and after a run is the same, also when it was ended early or failed to start.
+func TestNothingStays(t *testing.T) {
+	descriptors := func() int {
+		d, err := os.ReadDir("/proc/self/fd")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(d)
+	}
+	settle := func(before int) {
+		t.Helper()
+		for end := time.Now().Add(10 * time.Second); descriptors() > before; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d descriptors, %d before", descriptors(), before)
+			}
+		}
+	}
+	s := parse(t, small)
+	before := descriptors()
+	t.Run("a whole run", func(t *testing.T) {
+		if end, reason := play(t, s).Outcome(); end == Fail {
+			t.Error(reason)
+		}
+		settle(before)
+	})
+	t.Run("ended early", func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := Run(ctx, s, Options{Program: silverreel, Dir: t.TempDir()}); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("got %v", err)
+		}
+		settle(before)
+	})
+	t.Run("a copy that does not start", func(t *testing.T) {
+		_, err := Run(t.Context(), s, Options{Program: "/bin/false", Dir: t.TempDir()})
+		if err == nil || !strings.Contains(err.Error(), "sidecar 0") || !strings.Contains(err.Error(), "did not start (exit status 1)") {
+			t.Errorf("got %v", err)
+		}
+		settle(before)
+	})
+	t.Run("no such program", func(t *testing.T) {
+		_, err := Run(t.Context(), s, Options{Program: "/no/such/program", Dir: t.TempDir()})
+		if err == nil || !strings.Contains(err.Error(), "/no/such/program") {
+			t.Errorf("got %v", err)
+		}
+		settle(before)
+	})
+	if err := goleak.Find(goleak.IgnoreCurrent()); err != nil {
+		t.Error(err)
+	}
+}
+
+// A port that somebody takes between the look and the start is changed for another; one that is always taken is an
+// error that names the copy and the address.
+func TestPortTaken(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	s := parse(t, strings.Replace(small, "count = 2", "count = 1", 1))
+	asked := 0
+	rep, err := Run(t.Context(), s, Options{Program: silverreel, Dir: t.TempDir(), freeAddr: func(n int) (string, error) {
+		if asked++; asked == 1 {
+			return l.Addr().String(), nil
+		}
+		return freeAddr(n)
+	}})
+	if err != nil || asked != 2 {
+		t.Fatalf("after %d addresses: %v", asked, err)
+	}
+	if len(rep.Result.Sidecars) != 1 || rep.Result.Sidecars[0].Requests == 0 {
+		t.Errorf("it served nothing: %+v", rep.Result.Sidecars)
+	}
+	_, err = Run(t.Context(), s, Options{Program: silverreel, Dir: t.TempDir(),
+		freeAddr: func(int) (string, error) { return l.Addr().String(), nil }})
+	if err == nil || !strings.Contains(err.Error(), "sidecar 0 at "+l.Addr().String()) || !strings.Contains(err.Error(), "address already in use") {
+		t.Errorf("got %v", err)
+	}
+}
