--- /dev/null
+++ b/cmd/marblelane/main.go
@@ -0,0 +1,93 @@
+// Command marblelane is what operators and developers run beside the sidecar: so far the lab.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// The ways a command ends.
+const (
+	exitGood = 0
+	exitFail = 1 // an expectation or a rule was broken
+	exitUse  = 2 // the call or a file cannot be meant, or the run could not be played
+	exitLate = 3 // the lab was late, the run does not count
+)
+
+// errExit carries how a command that has already said all ends.
+type errExit int
+
+func (e errExit) Error() string { return fmt.Sprintf("exit %d", int(e)) }
+
+// cli is all that the command takes.
+type cli struct {
+	LogFormat string `help:"Form of the log on standard error: ${enum}." enum:"text,json" default:"text"`
+	LogLevel  string `help:"Least level that is logged: ${enum}." enum:"debug,info,warn,error" default:"warn"`
+
+	Lab labCmd `cmd:"" help:"Run copies of the sidecar between stand-ins, with faults between them, and measure."`
+}
+
+// app is what commands are given.
+type app struct {
+	ctx    context.Context
+	out    io.Writer
+	errOut io.Writer
+	log    *slog.Logger
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run is main without the process around it.
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	var c cli
+	ended := -1
+	parser, err := kong.New(&c, kong.Name("marblelane"), kong.Writers(out, errOut),
+		kong.Description("Client-side load balancing for fleets that keep running while things break."),
+		kong.UsageOnError(), kong.Exit(func(code int) { ended = code }))
+	if err != nil {
+		fmt.Fprintln(errOut, "marblelane:", err)
+		return exitUse
+	}
+	k, err := parser.Parse(args)
+	if ended >= 0 { // help was asked for and given
+		return ended
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "marblelane:", err)
+		return exitUse
+	}
+	err = k.Run(&app{ctx: ctx, out: out, errOut: errOut, log: c.logger(errOut)})
+	var exit errExit
+	switch {
+	case err == nil:
+		return exitGood
+	case errors.As(err, &exit):
+		return int(exit)
+	default:
+		fmt.Fprintln(errOut, "marblelane:", err)
+		return exitUse
+	}
+}
+
+func (c *cli) logger(w io.Writer) *slog.Logger {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(c.LogLevel)) // kong has checked it
+	o := &slog.HandlerOptions{Level: level}
+	if c.LogFormat == "json" {
+		return slog.New(slog.NewJSONHandler(w, o))
+	}
+	return slog.New(slog.NewTextHandler(w, o))
+}
--- /dev/null
+++ b/cmd/marblelane/main_test.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// programs holds the real programs, built once for all tests.
+var programs string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "marblelane-test-")
+	if err == nil {
+		programs = dir
+		var out []byte
+		out, err = exec.Command("go", "build", "-o", dir+"/", "marblelane/cmd/silverreel", "marblelane/cmd/marblelane").CombinedOutput()
+		if err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "the programs cannot be built:", err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func TestWaysToEnd(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	short := file("short.toml", "title = \"short\"\nlength = \"1s\"\n[sidecars]\ncount = 1\n[servers]\ncount = 2\n")
+	hopeless := file("hopeless.toml", "title = \"hopeless\"\nlength = \"1s\"\n[sidecars]\ncount = 1\n[servers]\ncount = 2\n[expect]\np99 = \"1ms\"\n")
+	reel := filepath.Join(programs, "silverreel")
+	for _, c := range []struct {
+		name      string
+		args      []string
+		code      int
+		out, said string // parts of standard output and standard error
+	}{
+		{"help", []string{"--help"}, 0, "lab run", ""},
+		{"no command", nil, 2, "", "expected"},
+		{"unknown flag", []string{"lab", "run", "--sed", "1", "quickstart"}, 2, "", "--sed"},
+		{"unknown level", []string{"--log-level", "loud", "lab", "list"}, 2, "", "loud"},
+		{"list", []string{"lab", "list"}, 0, "quickstart ", ""},
+		{"check", []string{"lab", "check", "quickstart"}, 0, "4 sidecars", ""},
+		{"schedule", []string{"lab", "check", short, "--schedule", "--seed", "3"}, 0, "scenario short seed 3\n", ""},
+		{"unknown scenario", []string{"lab", "run", "quickstrat"}, 2, "", `no scenario "quickstrat"`},
+		{"no file", []string{"lab", "run", filepath.Join(dir, "none.toml")}, 2, "", "none.toml"},
+		{"bad file", []string{"lab", "check", file("bad.toml", "title = \"x\"\nlength = \"5\"\n")}, 2, "", "bad.toml:2: length:"},
+		{"no program", []string{"lab", "run", short, "--silverreel", filepath.Join(dir, "none")}, 2, "", "--silverreel"},
+		{"no executable", []string{"lab", "run", short, "--silverreel", short}, 2, "", "is no program"},
+		{"expectation", []string{"lab", "run", hopeless, "--silverreel", reel}, 1, "\nFAIL: p99 (ms) is ", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var out, said bytes.Buffer
+			code := run(t.Context(), c.args, &out, &said)
+			if code == exitLate {
+				t.Skip("the lab was late")
+			}
+			if code != c.code || !strings.Contains(out.String(), c.out) || !strings.Contains(said.String(), c.said) {
+				t.Errorf("%v ends with %d\nout: %s\nerr: %s", c.args, code, out.String(), said.String())
+			}
+		})
+	}
+}
+
+// start runs the real command until its copies are up, and gives their process ids.
+func start(t *testing.T, scenario string) (*exec.Cmd, *bytes.Buffer, []int) {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(programs, "marblelane"), "--log-level", "info", "lab", "run", scenario)
+	var out bytes.Buffer
+	cmd.Stdout = &out
+	said, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+	})
+	lines := bufio.NewScanner(said)
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), "all parties are up") {
+			go func() {
+				for lines.Scan() {
+				}
+			}()
+			children := children(t, cmd.Process.Pid)
+			if len(children) != 2 {
+				t.Fatalf("children are %v, want 2", children)
+			}
+			return cmd, &out, children
+		}
+	}
+	t.Fatalf("it did not start: %v", lines.Err())
+	return nil, nil, nil
+}
+
+func children(t *testing.T, pid int) []int {
+	t.Helper()
+	var all []int
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", pid))
+	for _, f := range tasks {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			continue // the thread has ended
+		}
+		for _, s := range strings.Fields(string(text)) {
+			n, _ := strconv.Atoi(s)
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+// gone waits until none of the processes runs. One that has ended and is not yet collected is gone too.
+func gone(t *testing.T, pids []int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for _, pid := range pids {
+		for {
+			stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+			if err != nil || strings.Contains(string(stat), ") Z ") {
+				break
+			}
+			if ctx.Err() != nil {
+				t.Fatalf("process %d still runs", pid)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+const long = `
+title = "long"
+length = "60s"
+[sidecars]
+count = 2
+[servers]
+count = 2
+[[fault]]
+at = "0s"
+for = "60s"
+kind = "sidecar-freeze"
+sidecars = "#1"
+`
+
+// However the lab ends, its copies end with it, a frozen one too.
+func TestCopiesEndWithTheLab(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "long.toml")
+	if err := os.WriteFile(path, []byte(long), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	for name, signal := range map[string]syscall.Signal{"SIGKILL": syscall.SIGKILL, "SIGINT": syscall.SIGINT, "SIGTERM": syscall.SIGTERM} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cmd, _, pids := start(t, path)
+			if err := cmd.Process.Signal(signal); err != nil {
+				t.Fatal(err)
+			}
+			_ = cmd.Wait()
+			if signal != syscall.SIGKILL && cmd.ProcessState.ExitCode() != exitUse {
+				t.Errorf("it ended with %v", cmd.ProcessState)
+			}
+			gone(t, pids)
+		})
+	}
+}
