Forward connections and packets of real programs through faulty links

Forward passes a port's connections on to a program, with the links of the port before it; ForwardPackets does so for UDP with loss, duplication, latency and one-way cuts, and takes loopback addresses only.

--- a/internal/lab/relay/relay_test.go
+++ b/internal/lab/relay/relay_test.go
@@ -262,3 +262,134 @@
 		t.Errorf("cutting off %d callers: %v", maxCallers+1, err)
 	}
 }
+
+func TestForward(t *testing.T) {
+	real, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var served sync.WaitGroup
+	served.Go(func() {
+		for {
+			c, err := real.Accept()
+			if err != nil {
+				return
+			}
+			served.Go(func() {
+				_, _ = io.Copy(c, c)
+				c.Close()
+			})
+		}
+	})
+	link := NewLink(Rules{}, 1)
+	p, err := Forward(func(int) *Link { return link }, func() string { return real.Addr().String() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		p.Close()
+		real.Close()
+		served.Wait()
+	})
+	c := dial(t, p, 0)
+	if got, err := say(c, "hello", patience); got != "hello\n" {
+		t.Errorf("%q, %v", got, err)
+	}
+	// An end of sending passes on, and what comes back still comes.
+	if _, err := io.WriteString(c, "last"); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if rest, err := io.ReadAll(c); string(rest) != "last" || err != nil {
+		t.Errorf("%q, %v", rest, err)
+	}
+	// A cut is silent here too.
+	c = dial(t, p, 0)
+	if _, err := say(c, "before", patience); err != nil {
+		t.Fatal(err)
+	}
+	link.Set(func(r *Rules) { r.Cut = From })
+	if got, err := say(c, "during", shortly); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("through the cut: %q, %v", got, err)
+	}
+	link.Set(func(r *Rules) { r.Cut = 0 })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	if got, err := bufio.NewReader(c).ReadString('\n'); got != "during\n" {
+		t.Errorf("after the cut: %q, %v", got, err)
+	}
+}
+
+func TestPackets(t *testing.T) {
+	real, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var served sync.WaitGroup
+	served.Go(func() {
+		buf := make([]byte, 100)
+		for {
+			n, from, err := real.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			_, _ = real.WriteTo(buf[:n], from)
+		}
+	})
+	link := NewPackets(PacketRules{}, 1)
+	d, err := ForwardPackets("127.0.0.1:0", real.LocalAddr().String(), func(*net.UDPAddr) *Packets { return link })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		d.Close()
+		real.Close()
+		served.Wait()
+	})
+	c, err := net.Dial("udp4", d.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	buf := make([]byte, 100)
+	ask := func(wait time.Duration) (string, error) {
+		if _, err := io.WriteString(c, "ping"); err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(wait))
+		n, err := c.Read(buf)
+		return string(buf[:n]), err
+	}
+	if got, err := ask(patience); got != "ping" {
+		t.Fatalf("%q, %v", got, err)
+	}
+	for _, way := range []Way{To, From} {
+		link.Set(func(r *PacketRules) { r.Cut = way })
+		if got, err := ask(shortly); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("cut %d: %q, %v", way, got, err)
+		}
+	}
+	link.Set(func(r *PacketRules) { r.Cut, r.Latency = 0, 20*time.Millisecond })
+	began := time.Now()
+	if got, err := ask(patience); got != "ping" || time.Since(began) < 40*time.Millisecond {
+		t.Errorf("%q, %v after %v", got, err, time.Since(began))
+	}
+	passed := 0
+	link.Set(func(r *PacketRules) { *r = PacketRules{Lose: 0.3} })
+	for range 1000 {
+		if n, _ := link.fate(To); n > 0 {
+			passed++
+		}
+	}
+	if passed < 640 || passed > 760 {
+		t.Errorf("%d of 1000 packets passed, 700 wanted", passed)
+	}
+	link.Set(func(r *PacketRules) { *r = PacketRules{Duplicate: 1} })
+	if n, _ := link.fate(To); n != 2 {
+		t.Errorf("a packet that comes twice came %d times", n)
+	}
+	if _, err := ForwardPackets("0.0.0.0:0", real.LocalAddr().String(), nil); err == nil {
+		t.Error("an address that is not loopback was taken")
+	}
+}
