--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -648,12 +648,12 @@
 	s.mu.Lock()
 	s.older, s.now = s.now, c
 	s.mu.Unlock()
-	r.watchers.Go(func() { s.watch(c) })
 	if _, err := c.Await(ctx, readyText); err != nil {
 		c.Kill()
 		return fmt.Errorf("sidecar %d at %s: %w", s.number, s.listen, err)
 	}
 	r.note(record.Process, s.number, record.Nobody, invariant.Serving)
+	r.watchers.Go(func() { s.watch(c) }) // an end before this was a start that failed, which is an error
 	return nil
 }
 
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -130,6 +130,31 @@
 	}
 }
 
+// With faults between real copies every rule holds, and the fault was there.
+func TestRulesHoldUnderFaults(t *testing.T) {
+	for name, harms := range map[string]bool{
+		"cut-requests": true, "cut-answers": true, "freeze": true, "herd": true, "roll": false, "upgrade": false,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			rep := play(t, read(t, name))
+			if end, reason := rep.Outcome(); end == Late {
+				t.Log(reason)
+				return
+			}
+			for _, b := range rep.Verdict.Breaches {
+				t.Errorf("%s at %.3f s: %s\n  %s", b.Rule, b.At, b.Text, strings.Join(b.Path, "\n  "))
+			}
+			if harms && rep.Result.Figures.InAim == 1 {
+				t.Error("nobody was harmed: the fault did not take place")
+			}
+			if rep.Verdict.Checked["unsafe-once"] == 0 || rep.Verdict.Checked["one-answer"] == 0 {
+				t.Errorf("rules were held to nothing: %v", rep.Verdict.Checked)
+			}
+		})
+	}
+}
+
 const small = `
 title = "small"
 length = "2s"
--- a/internal/lab/stock/server.go
+++ b/internal/lab/stock/server.go
@@ -224,7 +224,9 @@
 	id     uint64
 	job    *job
 	ended  chan struct{} // closed once nothing more is written for it
-	closed atomic.Bool   // its caller is seen to be gone
+	closed atomic.Bool   // its connection is seen to be over
+	// replied: its answer is written whole
+	replied atomic.Bool
 }
 
 func (v *visit) note(k record.Kind, status int, sum uint64) {
@@ -341,6 +343,9 @@
 	// The next byte is the next request's; an end means that the caller does not wait any more.
 	_, err = in.Peek(1)
 	if err != nil {
+		if !v.replied.Load() {
+			v.gone() // its caller has closed, or this server has died
+		}
 		select {
 		case <-v.ended:
 		default:
@@ -446,6 +451,7 @@
 		v.gone()
 		return
 	}
+	v.replied.Store(true)
 	v.note(record.Replied, status, 0)
 }
 
