--- a/cmd/marblelane/lab.go
+++ b/cmd/marblelane/lab.go
@@ -20,6 +20,10 @@
 	Run   labRun   `cmd:"" help:"Play a scenario and hold it to the rules and to what it expects."`
 	List  labList  `cmd:"" help:"List the scenarios that come with the program."`
 	Check labCheck `cmd:"" help:"Read a scenario and print its schedule without playing it."`
+
+	Compare  labCompare  `cmd:"" help:"Play two builds or two scenarios in turn on the same seeds and print the difference."`
+	Scale    labScale    `cmd:"" help:"Play fleets of several sizes and print what they cost."`
+	Overhead labOverhead `cmd:"" help:"Measure what the lab itself adds to the time of an answer."`
 }
 
 // program names the sidecar that runs play.
@@ -134,10 +138,8 @@
 		}
 	}
 	if c.JSON {
-		e := json.NewEncoder(a.out)
-		e.SetIndent("", " ")
-		if err := e.Encode(rep); err != nil {
-			return fmt.Errorf("print: %w", err)
+		if err := printJSON(a, rep); err != nil {
+			return err
 		}
 	} else {
 		rep.Print(a.out)
@@ -196,3 +198,153 @@
 		len(p.Pods), p.Capacity, len(p.Arrivals), s.Length.Of(), p.Rate, len(p.Faults))
 	return nil
 }
+
+type labCompare struct {
+	program
+	A        string `arg:"" help:"A scenario (name, or file that ends in .toml), or a sidecar's program."`
+	B        string `arg:"" help:"What it is compared with, of the same sort."`
+	Scenario string `help:"The scenario that two programs play." default:"quickstart"`
+	Plays    int    `help:"Plays of each side." default:"5"`
+	Seed     uint64 `help:"Seed of the first pair; the others follow." default:"1"`
+	Report   string `help:"Folder for compare.json and its plots." type:"path" placeholder:"DIR"`
+	JSON     bool   `help:"Print JSON in place of the table." name:"json"`
+}
+
+func (c *labCompare) Run(a *app) error {
+	if c.Plays < 1 || c.Seed < 1 {
+		return errors.New("--plays and --seed are at least 1")
+	}
+	sides, done, err := c.sides(a)
+	if err != nil {
+		return err
+	}
+	defer done()
+	cmp, err := lab.Compare(a.ctx, sides[0], sides[1], c.Seed, c.Plays, lab.Options{Log: a.log, Progress: a.errOut})
+	if err != nil {
+		return err
+	}
+	if c.Report != "" {
+		if err := save(c.Report, "compare.json", cmp); err != nil {
+			return err
+		}
+		if err := cmp.Plot(c.Report); err != nil {
+			return fmt.Errorf("--report: %w", err)
+		}
+	}
+	if c.JSON {
+		return printJSON(a, cmp)
+	}
+	cmp.Print(a.out)
+	return nil
+}
+
+// sides reads what the two arguments mean.
+func (c *labCompare) sides(a *app) (sides [2]lab.Side, done func(), err error) {
+	done = func() {}
+	if executable(c.A) == nil && executable(c.B) == nil {
+		s, err := load(c.Scenario)
+		if err != nil {
+			return sides, done, err
+		}
+		for i, path := range []string{c.A, c.B} {
+			path, err := filepath.Abs(path)
+			if err != nil {
+				return sides, done, err
+			}
+			sides[i] = lab.Side{Name: path, Scenario: s, Program: path}
+		}
+		return sides, done, nil
+	}
+	path, done, err := c.find(a)
+	if err != nil {
+		return sides, done, err
+	}
+	for i, name := range []string{c.A, c.B} {
+		s, err := load(name)
+		if err != nil {
+			done()
+			return sides, func() {}, err
+		}
+		sides[i] = lab.Side{Name: name, Scenario: s, Program: path}
+	}
+	return sides, done, nil
+}
+
+func save(dir, name string, v any) error {
+	data, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return fmt.Errorf("--report: %w", err)
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("--report: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, name), append(data, '\n'), 0o644); err != nil {
+		return fmt.Errorf("--report: %w", err)
+	}
+	return nil
+}
+
+func printJSON(a *app, v any) error {
+	e := json.NewEncoder(a.out)
+	e.SetIndent("", " ")
+	if err := e.Encode(v); err != nil {
+		return fmt.Errorf("print: %w", err)
+	}
+	return nil
+}
+
+type labScale struct {
+	program
+	Scenario string `help:"The scenario whose fleet is sized." default:"scale"`
+	Sidecars []int  `help:"Numbers of sidecars." default:"3,30,100"`
+	Servers  []int  `help:"Numbers of stand-in servers." default:"10,100,1000"`
+	JSON     bool   `help:"Print JSON in place of the table." name:"json"`
+}
+
+func (c *labScale) Run(a *app) error {
+	s, err := load(c.Scenario)
+	if err != nil {
+		return err
+	}
+	path, done, err := c.find(a)
+	if err != nil {
+		return err
+	}
+	defer done()
+	points, err := lab.Scale(a.ctx, s, c.Sidecars, c.Servers, lab.Options{Program: path, Log: a.log, Progress: a.errOut})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(a, points)
+	}
+	lab.PrintScale(a.out, points)
+	return nil
+}
+
+type labOverhead struct {
+	program
+	Scenario string `help:"A scenario of fixed work and no faults." default:"overhead"`
+	JSON     bool   `help:"Print JSON in place of the table." name:"json"`
+}
+
+func (c *labOverhead) Run(a *app) error {
+	s, err := load(c.Scenario)
+	if err != nil {
+		return err
+	}
+	path, done, err := c.find(a)
+	if err != nil {
+		return err
+	}
+	defer done()
+	ways, err := lab.MeasureOverhead(a.ctx, s, lab.Options{Program: path, Log: a.log})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(a, ways)
+	}
+	lab.PrintOverhead(a.out, ways)
+	return nil
+}
--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -59,7 +59,8 @@
 	return a, ok
 }
 
-func (b *Book) add(id uint64, a stock.Ask) {
+// Add keeps what a client sends under its id.
+func (b *Book) Add(id uint64, a stock.Ask) {
 	p := &b.parts[id%16]
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -184,7 +185,7 @@
 		method, body = http.MethodPost, stock.Body(^t.id, class.Body)
 	}
 	sum := record.Sum(body)
-	t.l.Book.add(t.id, stock.Ask{Method: method, Class: t.a.Class, Sum: sum, Work: t.a.Work, Answer: s.Traffic.Answer})
+	t.l.Book.Add(t.id, stock.Ask{Method: method, Class: t.a.Class, Sum: sum, Work: t.a.Work, Answer: s.Traffic.Answer})
 	head := fmt.Appendf(nil, "%s /api HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: %016x\r\nX-Priority-Class: %s\r\nX-Tenant-Id: %s\r\nX-Timeout-Ms: %d\r\n",
 		method, t.id, class.Name, s.Tenants[t.a.Tenant].Name, max(t.patience.Milliseconds(), 1))
 	if body != nil {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -1,9 +1,12 @@
 package lab
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/exec"
@@ -246,3 +249,57 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// A comparison pairs plays by seed and finds what is different.
+func TestCompareFindsTheDifference(t *testing.T) {
+	sound := parse(t, small)
+	bad := parse(t, small+"[[fault]]\nat = \"0s\"\nfor = \"2s\"\nkind = \"fail\"\nservers = \"all\"\nsize = 1\n")
+	c, err := Compare(t.Context(), Side{"sound", sound, silverreel}, Side{"bad", bad, silverreel}, 3, 2, Options{})
+	if errors.Is(err, errBusy) {
+		t.Skip(err)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(c.Seeds, []uint64{3, 4}) || len(c.Pairs) != 2 {
+		t.Errorf("pairs of seeds %v", c.Seeds)
+	}
+	if r := c.Rows[0]; r.Name != "in aim" || r.Diff > -0.9 || math.Abs(r.B-r.A-r.Diff) > 1e-9 || r.Least > r.Diff || r.Most < r.Diff {
+		t.Errorf("row %+v", r)
+	}
+	dir := t.TempDir()
+	if err := c.Plot(dir); err != nil {
+		t.Fatal(err)
+	}
+	if info, err := os.Stat(filepath.Join(dir, "compare.svg")); err != nil || info.Size() == 0 {
+		t.Errorf("no plot: %v", err)
+	}
+}
+
+// What a report saves can be read back, plots included; every picture is marked with its faults.
+func TestReportIsSaved(t *testing.T) {
+	s := parse(t, small+"[[fault]]\nat = \"500ms\"\nfor = \"1s\"\nkind = \"slow\"\nservers = \"1\"\nsize = 3\n")
+	rep := play(t, s)
+	dir := filepath.Join(t.TempDir(), "new", "folder")
+	if err := rep.Save(dir); err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(filepath.Join(dir, "report.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back Report
+	if err := json.Unmarshal(data, &back); err != nil || back.Seed != rep.Seed || back.Result.Figures != rep.Result.Figures {
+		t.Errorf("read back %+v, %v", back.Result, err)
+	}
+	for _, name := range []string{"timeline", "latency", "servers"} {
+		png, err := os.ReadFile(filepath.Join(dir, name+".png"))
+		if err != nil || !bytes.HasPrefix(png, []byte("\x89PNG")) {
+			t.Errorf("%s.png: %v", name, err)
+		}
+	}
+	svg, err := os.ReadFile(filepath.Join(dir, "timeline.svg"))
+	if err != nil || !bytes.Contains(svg, []byte(">slow<")) {
+		t.Errorf("the fault is not marked: %v", err)
+	}
+}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -92,5 +92,8 @@
 	if err := os.WriteFile(filepath.Join(dir, "report.txt"), []byte(text.String()), 0o644); err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
+	if err := r.plots(dir); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
 	return nil
 }
