--- a/cmd/marblelane/main_test.go
+++ b/cmd/marblelane/main_test.go
@@ -188,3 +188,42 @@
 		})
 	}
 }
+
+// A lab that was held up says that its run does not count, whatever came out of it.
+func TestLateLabDoesNotCount(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "held.toml")
+	text := "title = \"held\"\nlength = \"3s\"\n[sidecars]\ncount = 2\n[servers]\ncount = 2\n[expect]\np99 = \"1ms\"\n"
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	cmd, out, _ := start(t, path)
+	if err := cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(1500 * time.Millisecond) // the fault itself: it has to be longer than what is let pass
+	if err := cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	_ = cmd.Wait()
+	if code := cmd.ProcessState.ExitCode(); code != exitLate || !strings.Contains(out.String(), "\nLATE: the lab could not keep its times") {
+		t.Errorf("it ended with %d:\n%s", code, out.String())
+	}
+}
+
+// Two programs can be compared as well as two scenarios.
+func TestCompareTakesPrograms(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "brief.toml")
+	if err := os.WriteFile(path, []byte("title = \"brief\"\nlength = \"1s\"\n[sidecars]\ncount = 1\n[servers]\ncount = 2\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	reel := filepath.Join(programs, "silverreel")
+	dir := filepath.Join(t.TempDir(), "report")
+	var out, said bytes.Buffer
+	code := run(t.Context(), []string{"lab", "compare", reel, reel, "--scenario", path, "--plays", "2", "--report", dir}, &out, &said)
+	if code != exitGood || !strings.Contains(out.String(), "2 plays each, seeds 1 to 2") || !strings.Contains(said.String(), "play 2 of 2") {
+		t.Errorf("it ended with %d\nout: %s\nerr: %s", code, out.String(), said.String())
+	}
+	if _, err := os.Stat(filepath.Join(dir, "compare.json")); err != nil {
+		t.Error(err)
+	}
+}
