Keep a list with one order of revisions that no reader falls out of

The product has no list service of its own; this is its pure part. A revision is epoch x 2^28 + count and fits 2^53; a history that begins or is restored gets a higher epoch, so that none is handed out twice. Not taken: a random name beside the count, as the platform's protocol has one number. What a reader asks for that cannot be told (too old, ahead, another history) is answered with the whole list. Writes sent twice change nothing, conditions go by the entry's own revision, a drained entry is ready only after a later start. Measured by a property test: 100 drawn runs of writes with three readers that fall behind as they like, each ends with exactly the list, and no revision means two things.

--- /dev/null
+++ b/internal/registry/state.go
@@ -0,0 +1,354 @@
+// Package registry is the product's own list service: the platform's protocol on the read side, plain HTTP and JSON
+// on the write side, replicated by raft.
+//
+// # Promise
+//
+// There is one total order of changes. Each has a revision; a watcher that was told revision N and asks for what came
+// after it gets every later change, or the whole list where that cannot be told (N is older than what is kept, ahead
+// of it, or of another history), and never a silent gap. A write that was acknowledged is on a majority of copies. A
+// copy without a majority refuses writes at once.
+//
+// # Revisions
+//
+// A revision is epoch x 2^28 + count and fits in 2^53. The epoch names a history: a cluster that starts anew, or is
+// restored from a backup, gets a higher one than any before (minutes since 2026 at that time, at least the old one
+// plus one), so that no revision is handed out again with another meaning. The way not taken: a random name beside the
+// count, as the platform's protocol has one number only.
+//
+// # Leases
+//
+// A registration may have a lease. Only the leader expires it, on its monotonic clock; renewals are kept in its memory
+// and not replicated, so that they cost no disk, and a new leader gives every lease a full term again.
+//
+// state.go decides and touches neither clock nor socket nor disk.
+package registry
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// The states of an entry, as the platform names them. Gone stands in changes only.
+const (
+	Ready       = "Ready"
+	Terminating = "Terminating"
+	Gone        = "Gone"
+)
+
+// Entry is one server in the platform's form.
+type Entry struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Model    string  `json:"model"`
+	PodGroup int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Capacity float64 `json:"capacity_hint"`
+	BootMS   int64   `json:"boot_ms"`
+}
+
+// List is what a reader is told, in the platform's form.
+type List struct {
+	Rev     int64   `json:"rev"`
+	All     bool    `json:"all"`
+	Targets []Entry `json:"targets"`
+}
+
+// countBits is the part of a revision that counts within an epoch: 268 million changes.
+const countBits = 28
+
+// maxEpoch keeps a revision within 2^53, up to which every JSON reader counts exactly.
+const maxEpoch = 1<<(53-countBits) - 1
+
+// EpochOf is the epoch of a revision.
+func EpochOf(rev int64) int64 { return rev >> countBits }
+
+// epochBegan is when epochs begin to count minutes; 25 bits of them last until 2089.
+var epochBegan = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// NextEpoch is the epoch of a history that begins now, after one with the epoch old (0: none).
+func NextEpoch(now time.Time, old int64) int64 {
+	return min(max(old+1, int64(now.Sub(epochBegan)/time.Minute)), maxEpoch)
+}
+
+// Op is what a command does.
+type Op string
+
+// The operations.
+const (
+	OpBegin  Op = "begin"  // a history begins, or a backup becomes one: Epoch
+	OpPut    Op = "put"    // register: Entry, Lease
+	OpDrain  Op = "drain"  // UID: Terminating from now on
+	OpRemove Op = "remove" // UID
+	OpExpire Op = "expire" // UIDs: their leases are over; only those unchanged since their If counts
+	OpMember Op = "member" // UID: a copy's name, Address: where it serves
+)
+
+// Command is one write, as it is replicated.
+type Command struct {
+	Op      Op               `json:"op"`
+	UID     string           `json:"uid,omitempty"`
+	Entry   *Entry           `json:"entry,omitempty"`
+	LeaseMS int64            `json:"lease_ms,omitempty"`
+	If      *int64           `json:"if,omitempty"` // revision of the entry's last change; 0: there is none
+	Epoch   int64            `json:"epoch,omitempty"`
+	Expired map[string]int64 `json:"expired,omitempty"` // uid to the revision of its last change
+	Address string           `json:"address,omitempty"`
+}
+
+// Errors of writes.
+var (
+	ErrConflict = errors.New("the entry has changed meanwhile")
+	ErrUnknown  = errors.New("there is no such entry")
+	ErrDrained  = errors.New("the entry drains; only a later start makes it ready again")
+	ErrInvalid  = errors.New("the entry cannot be")
+)
+
+// item is an entry with what is not told.
+type item struct {
+	Entry   Entry `json:"entry"`
+	Changed int64 `json:"changed"` // revision of its last change
+	LeaseMS int64 `json:"lease_ms"`
+}
+
+// change is one entry as it became with a revision.
+type change struct {
+	rev   int64
+	entry Entry
+}
+
+// State is the list with its recent history. It is deterministic: the same commands give the same state.
+type State struct {
+	rev     int64
+	items   map[string]*item
+	members map[string]string // copies by name: where they serve
+	history []change          // oldest first
+	from    int64             // changes after this revision are in history
+	keep    int
+}
+
+// NewState makes an empty list that keeps at least so many changes.
+func NewState(keep int) *State {
+	return &State{items: map[string]*item{}, members: map[string]string{}, keep: keep}
+}
+
+// Rev is the revision of the last change.
+func (s *State) Rev() int64 { return s.rev }
+
+// Len is the number of entries.
+func (s *State) Len() int { return len(s.items) }
+
+// Get gives an entry with the revision of its last change and its lease.
+func (s *State) Get(uid string) (e Entry, changed int64, lease time.Duration, ok bool) {
+	it, ok := s.items[uid]
+	if !ok {
+		return Entry{}, 0, 0, false
+	}
+	return it.Entry, it.Changed, time.Duration(it.LeaseMS) * time.Millisecond, true
+}
+
+// Members are the copies by name with the addresses where they serve.
+func (s *State) Members() map[string]string { return maps.Clone(s.members) }
+
+// Leased calls f for each entry that has a lease.
+func (s *State) Leased(f func(uid string, changed int64, term time.Duration)) {
+	for uid, it := range s.items {
+		if it.LeaseMS > 0 {
+			f(uid, it.Changed, time.Duration(it.LeaseMS)*time.Millisecond)
+		}
+	}
+}
+
+// Check finds what an entry lacks.
+func (e *Entry) Check() error {
+	switch {
+	case e.UID == "" || len(e.UID) > 200:
+		return fmt.Errorf("%w: uid is empty or longer than 200 bytes", ErrInvalid)
+	case e.Endpoint == "" || len(e.Endpoint) > 200:
+		return fmt.Errorf("%w: endpoint is empty or longer than 200 bytes", ErrInvalid)
+	case e.State != Ready && e.State != Terminating:
+		return fmt.Errorf("%w: state %q is neither Ready nor Terminating", ErrInvalid, e.State)
+	case e.BootMS < 0:
+		return fmt.Errorf("%w: boot_ms is negative", ErrInvalid)
+	case !(e.Capacity >= 0 && e.Capacity <= 1e9):
+		return fmt.Errorf("%w: capacity_hint is not between 0 and 1e9", ErrInvalid)
+	}
+	return nil
+}
+
+// Apply carries out a command. It returns the revision after which a reader sees it: of the change, or of the last
+// one where nothing had to change, so that a write that is sent twice does no harm.
+func (s *State) Apply(c *Command) (int64, error) {
+	switch c.Op {
+	case OpBegin:
+		if EpochOf(s.rev) >= c.Epoch {
+			return s.rev, nil
+		}
+		s.rev = c.Epoch << countBits
+		s.history, s.from = nil, s.rev // what came before is another history
+		return s.rev, nil
+	case OpMember:
+		if c.Address == "" {
+			delete(s.members, c.UID)
+		} else {
+			s.members[c.UID] = c.Address
+		}
+		return s.rev, nil
+	case OpPut:
+		return s.put(c)
+	case OpDrain:
+		return s.drain(c)
+	case OpRemove:
+		it, ok := s.items[c.UID]
+		if !ok {
+			return s.rev, nil
+		}
+		if c.If != nil && *c.If != it.Changed {
+			return 0, ErrConflict
+		}
+		s.remove(c.UID)
+		return s.rev, nil
+	case OpExpire:
+		for _, uid := range slices.Sorted(maps.Keys(c.Expired)) { // in an order that all copies share
+			if it, ok := s.items[uid]; ok && it.Changed == c.Expired[uid] {
+				s.remove(uid)
+			}
+		}
+		return s.rev, nil
+	}
+	return 0, fmt.Errorf("registry: unknown operation %q", c.Op)
+}
+
+func (s *State) put(c *Command) (int64, error) {
+	if c.Entry == nil {
+		return 0, fmt.Errorf("%w: there is none", ErrInvalid)
+	}
+	if err := c.Entry.Check(); err != nil {
+		return 0, err
+	}
+	e, old := *c.Entry, s.items[c.Entry.UID]
+	if old != nil {
+		if old.Entry == e && old.LeaseMS == c.LeaseMS {
+			return old.Changed, nil // sent twice, or nothing new
+		}
+	}
+	if c.If != nil {
+		at := int64(0)
+		if old != nil {
+			at = old.Changed
+		}
+		if at != *c.If {
+			return 0, ErrConflict
+		}
+	}
+	if old != nil && old.Entry.State == Terminating && e.State == Ready && e.BootMS <= old.Entry.BootMS {
+		return 0, ErrDrained
+	}
+	it := &item{Entry: e, LeaseMS: c.LeaseMS}
+	if old != nil && old.Entry == e { // another term only: nobody has to be told
+		it.Changed = old.Changed
+		s.items[e.UID] = it
+		return it.Changed, nil
+	}
+	s.items[e.UID] = it
+	it.Changed = s.record(e)
+	return s.rev, nil
+}
+
+func (s *State) drain(c *Command) (int64, error) {
+	it, ok := s.items[c.UID]
+	switch {
+	case !ok:
+		return 0, ErrUnknown
+	case it.Entry.State == Terminating:
+		return it.Changed, nil
+	case c.If != nil && *c.If != it.Changed:
+		return 0, ErrConflict
+	}
+	it.Entry.State = Terminating
+	it.Changed = s.record(it.Entry)
+	return s.rev, nil
+}
+
+func (s *State) remove(uid string) {
+	e := s.items[uid].Entry
+	e.State = Gone
+	delete(s.items, uid)
+	s.record(e)
+}
+
+// record gives a change its revision and keeps it. A count that is used up goes on in the next epoch, which is
+// simply the next number; the list is the same, so nobody has to be told it whole.
+func (s *State) record(e Entry) int64 {
+	s.rev++
+	s.history = append(s.history, change{s.rev, e})
+	if len(s.history) > 2*s.keep { // in steps, so that it costs little
+		drop := len(s.history) - s.keep
+		s.from = s.history[drop-1].rev
+		s.history = slices.Clone(s.history[drop:])
+	}
+	return s.rev
+}
+
+// All is the whole list, by uid.
+func (s *State) All() List {
+	l := List{Rev: s.rev, All: true, Targets: make([]Entry, 0, len(s.items))}
+	for _, uid := range slices.Sorted(maps.Keys(s.items)) {
+		l.Targets = append(l.Targets, s.items[uid].Entry)
+	}
+	return l
+}
+
+// Since is what changed after a revision, each entry once as it is now; or the whole list where that is not known.
+func (s *State) Since(after int64) List {
+	if after < s.from || after > s.rev {
+		return s.All()
+	}
+	first, _ := slices.BinarySearchFunc(s.history, after+1, func(c change, rev int64) int { return int(c.rev - rev) })
+	last := map[string]int{}
+	for i, c := range s.history[first:] {
+		last[c.entry.UID] = first + i
+	}
+	l := List{Rev: s.rev, Targets: make([]Entry, 0, len(last))}
+	for _, i := range slices.Sorted(maps.Values(last)) {
+		l.Targets = append(l.Targets, s.history[i].entry)
+	}
+	return l
+}
+
+// saved is a state as a snapshot keeps it. The history is not part of it: a watcher that comes back to a copy which
+// was restored gets the whole list.
+type saved struct {
+	Form    int               `json:"form"`
+	Rev     int64             `json:"rev"`
+	Items   []*item           `json:"items"`
+	Members map[string]string `json:"members"`
+}
+
+// savedForm is the form of snapshots; a newer one is refused.
+const savedForm = 1
+
+func (s *State) save() *saved {
+	out := &saved{Form: savedForm, Rev: s.rev, Members: maps.Clone(s.members)}
+	for _, uid := range slices.Sorted(maps.Keys(s.items)) {
+		it := *s.items[uid]
+		out.Items = append(out.Items, &it)
+	}
+	return out
+}
+
+func (s *State) load(from *saved) error {
+	if from.Form != savedForm {
+		return fmt.Errorf("registry: a snapshot of form %d, this program reads form %d", from.Form, savedForm)
+	}
+	s.rev, s.from, s.history = from.Rev, from.Rev, nil
+	s.items, s.members = map[string]*item{}, map[string]string{}
+	for _, it := range from.Items {
+		s.items[it.Entry.UID] = it
+	}
+	maps.Copy(s.members, from.Members)
+	return nil
+}
--- /dev/null
+++ b/internal/registry/state_test.go
@@ -0,0 +1,218 @@
+package registry
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func entry(uid string, boot int64) *Entry {
+	return &Entry{UID: uid, Endpoint: "127.0.0.1:1", Zone: "a", State: Ready, Capacity: 1, BootMS: boot}
+}
+
+func begun(keep int) *State {
+	s := NewState(keep)
+	if _, err := s.Apply(&Command{Op: OpBegin, Epoch: 5}); err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// Whatever is written, and whenever a reader falls behind, what it is told leads it to exactly the list there is,
+// and no revision means two things.
+func TestReaderIsNeverLeftBehind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := begun(rapid.IntRange(1, 10).Draw(t, "keep"))
+		type reader struct {
+			rev  int64
+			list map[string]Entry
+		}
+		readers := []*reader{{list: map[string]Entry{}}, {list: map[string]Entry{}}, {list: map[string]Entry{}}}
+		catchUp := func(r *reader) {
+			l := s.Since(r.rev)
+			if l.All {
+				clear(r.list)
+			}
+			for _, e := range l.Targets {
+				if e.State == Gone {
+					delete(r.list, e.UID)
+				} else {
+					r.list[e.UID] = e
+				}
+			}
+			r.rev = l.Rev
+		}
+		meant := map[int64]string{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			uid := fmt.Sprintf("s%d", rapid.IntRange(0, 4).Draw(t, "uid"))
+			before := s.Rev()
+			c := &Command{UID: uid, Op: rapid.SampledFrom([]Op{OpPut, OpPut, OpDrain, OpRemove, OpExpire, OpBegin}).Draw(t, "op")}
+			switch c.Op {
+			case OpPut:
+				c.Entry = entry(uid, rapid.Int64Range(0, 3).Draw(t, "boot"))
+			case OpExpire:
+				_, changed, _, _ := s.Get(uid)
+				c.Expired = map[string]int64{uid: changed}
+			case OpBegin:
+				c.Epoch = EpochOf(s.Rev()) + 1
+			}
+			_, _ = s.Apply(c) // a refusal is as good as a change here
+			if s.Rev() < before {
+				t.Fatalf("the revision went back from %d to %d", before, s.Rev())
+			}
+			if now := fmt.Sprint(s.All().Targets); s.Rev() == before {
+				if old, ok := meant[before]; ok && old != now {
+					t.Fatalf("revision %d meant %s and means %s", before, old, now)
+				}
+			} else {
+				meant[s.Rev()] = now
+			}
+			for _, r := range readers {
+				if rapid.Bool().Draw(t, "reads") {
+					catchUp(r)
+				}
+			}
+		}
+		want := map[string]Entry{}
+		for _, e := range s.All().Targets {
+			want[e.UID] = e
+		}
+		for _, r := range readers {
+			catchUp(r)
+			if fmt.Sprint(r.list) != fmt.Sprint(want) {
+				t.Fatalf("a reader has %v, the list is %v", r.list, want)
+			}
+		}
+	})
+}
+
+func TestAfterThatCannotBeToldGetsAll(t *testing.T) {
+	s := begun(4)
+	for i := range 20 {
+		if _, err := s.Apply(&Command{Op: OpPut, Entry: entry("s", int64(i))}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name, after := range map[string]int64{
+		"never told": 0, "older than what is kept": 5<<countBits + 2, "ahead": s.Rev() + 1,
+		"of an older history": 4<<countBits + 19, "of a newer history": 6<<countBits + 1, "nonsense": -7,
+	} {
+		if l := s.Since(after); !l.All || len(l.Targets) != 1 {
+			t.Errorf("%s: %+v", name, l)
+		}
+	}
+	if l := s.Since(s.Rev() - 1); l.All || len(l.Targets) != 1 {
+		t.Errorf("the last change: %+v", l)
+	}
+	if l := s.Since(s.Rev()); l.All || len(l.Targets) != 0 {
+		t.Errorf("nothing new: %+v", l)
+	}
+}
+
+func TestWritesSentTwice(t *testing.T) {
+	s := begun(100)
+	zero := int64(0)
+	put := &Command{Op: OpPut, Entry: entry("s", 1), If: &zero, LeaseMS: 1000}
+	first, err := s.Apply(put)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := s.Apply(put)
+	if err != nil || again != first || s.Rev() != first {
+		t.Errorf("the second put: %d, %v; the first was %d", again, err, first)
+	}
+	if _, err := s.Apply(&Command{Op: OpPut, Entry: entry("s", 2), If: &zero}); !errors.Is(err, ErrConflict) {
+		t.Errorf("a put on an entry that was not there: %v", err)
+	}
+	for _, op := range []Op{OpDrain, OpRemove} {
+		c := &Command{Op: op, UID: "s", If: ptr(s.Rev())}
+		one, err := s.Apply(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		two, err := s.Apply(c)
+		if err != nil || one != two {
+			t.Errorf("%s twice: %d and %d, %v", op, one, two, err)
+		}
+	}
+	if _, err := s.Apply(&Command{Op: OpDrain, UID: "s"}); !errors.Is(err, ErrUnknown) {
+		t.Errorf("a drain of nobody: %v", err)
+	}
+}
+
+func ptr[T any](v T) *T { return &v }
+
+func TestDrainedIsReadyOnlyAfterALaterStart(t *testing.T) {
+	s := begun(100)
+	for _, c := range []*Command{{Op: OpPut, Entry: entry("s", 10)}, {Op: OpDrain, UID: "s"}} {
+		if _, err := s.Apply(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := s.Apply(&Command{Op: OpPut, Entry: entry("s", 10)}); !errors.Is(err, ErrDrained) {
+		t.Errorf("a late registration of the same start: %v", err)
+	}
+	if _, err := s.Apply(&Command{Op: OpPut, Entry: entry("s", 11)}); err != nil {
+		t.Errorf("a later start: %v", err)
+	}
+	if l := s.All(); len(l.Targets) != 1 || l.Targets[0].State != Ready || l.Targets[0].BootMS != 11 {
+		t.Errorf("the list is %+v", l)
+	}
+}
+
+// An expiry that was decided before a change does not undo it.
+func TestExpiryIsOfWhatItSaw(t *testing.T) {
+	s := begun(100)
+	rev, _ := s.Apply(&Command{Op: OpPut, Entry: entry("s", 1), LeaseMS: 10})
+	if _, err := s.Apply(&Command{Op: OpPut, Entry: entry("s", 2), LeaseMS: 10}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Apply(&Command{Op: OpExpire, Expired: map[string]int64{"s": rev}}); err != nil || s.Len() != 1 {
+		t.Errorf("%d entries, %v", s.Len(), err)
+	}
+}
+
+func TestEpochs(t *testing.T) {
+	now := epochBegan.Add(1000 * time.Minute)
+	if e := NextEpoch(now, 0); e != 1000 {
+		t.Errorf("a fresh history: %d", e)
+	}
+	if e := NextEpoch(now, 1000); e != 1001 {
+		t.Errorf("a second one within the minute: %d", e)
+	}
+	if e := NextEpoch(epochBegan.Add(-time.Hour), 7); e != 8 {
+		t.Errorf("with a clock that went back: %d", e)
+	}
+	if rev := int64(maxEpoch)<<countBits + 1<<countBits - 1; rev != 1<<53-1 {
+		t.Errorf("the last revision is %d", rev)
+	}
+}
+
+func TestSnapshotKeepsTheList(t *testing.T) {
+	s := begun(100)
+	for i := range 5 {
+		if _, err := s.Apply(&Command{Op: OpPut, Entry: entry(fmt.Sprint("s", i), 1), LeaseMS: 50}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := s.Apply(&Command{Op: OpMember, UID: "r1", Address: "127.0.0.1:9"}); err != nil {
+		t.Fatal(err)
+	}
+	back := NewState(100)
+	if err := back.load(s.save()); err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(back.All().Targets, s.All().Targets) || back.Rev() != s.Rev() || back.Members()["r1"] != "127.0.0.1:9" {
+		t.Errorf("%+v, want %+v", back.All(), s.All())
+	}
+	if l := back.Since(s.Rev() - 1); !l.All {
+		t.Error("a restored copy told a change that it does not have")
+	}
+	if err := back.load(&saved{Form: 2}); err == nil {
+		t.Error("a snapshot of a newer form was read")
+	}
+}
