--- /dev/null
+++ b/internal/registry/leases.go
@@ -0,0 +1,77 @@
+package registry
+
+import (
+	"sync"
+	"time"
+)
+
+// leases is the leader's view of which registrations are renewed. It is fed with times of the monotonic clock.
+type leases struct {
+	mu   sync.Mutex
+	ends map[string]time.Time
+	held int
+}
+
+func newLeases() *leases { return &leases{ends: map[string]time.Time{}} }
+
+// lease is one entry that has one.
+type lease struct {
+	uid     string
+	changed int64
+	term    time.Duration
+}
+
+// fewLeases is up to how many leased entries may all end: among few, a share says nothing of a cut-off.
+const fewLeases = 3
+
+func (l *leases) renew(uid string, term time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ends[uid] = now.Add(term)
+}
+
+// forget drops all: this copy does not lead. When it leads again, every lease begins anew.
+func (l *leases) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.ends)
+	l.held = 0
+}
+
+func (l *leases) heldCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held
+}
+
+// due gives the entries whose leases have ended, with the revision that was seen; or, when they are more than
+// holdShare of all leased ones, only how many are held: it is likelier that this copy is cut off from them than that all
+// have died at once. They are held until enough of them are renewed or removed.
+func (l *leases) due(all []lease, holdShare float64, now time.Time) (expired map[string]int64, held int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	expired = map[string]int64{}
+	known := make(map[string]bool, len(all))
+	for _, one := range all {
+		known[one.uid] = true
+		end, ok := l.ends[one.uid]
+		if !ok { // registered before this copy led: a full term from now on
+			l.ends[one.uid] = now.Add(one.term)
+			continue
+		}
+		if now.After(end) {
+			expired[one.uid] = one.changed
+		}
+	}
+	for uid := range l.ends {
+		if !known[uid] {
+			delete(l.ends, uid)
+		}
+	}
+	if len(all) > fewLeases && float64(len(expired)) > holdShare*float64(len(all)) {
+		l.held = len(expired)
+		return nil, l.held
+	}
+	l.held = 0
+	return expired, 0
+}
--- /dev/null
+++ b/internal/registry/node.go
@@ -0,0 +1,350 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+)
+
+// Config is one copy of the service.
+type Config struct {
+	Name   string // its name among the copies
+	Listen string // where it serves readers and writers
+	Raft   string // where the copies talk to each other
+	Dir    string // its folder; empty: it keeps nothing, for development alone
+	Peers  []Peer // all copies of a cluster that is founded now, itself too; empty: it founds one alone or joins later
+	Join   bool   // wait to be added to a cluster, found none
+	Keep   int    // changes kept for watchers that come back; 10,000
+	// Beat is the time between a leader's heartbeats; elections follow after a few of them. 200 ms.
+	Beat time.Duration
+
+	Options
+}
+
+// Peer is a copy as others know it.
+type Peer struct {
+	Name  string `toml:"name" json:"name"`
+	Raft  string `toml:"raft" json:"raft"`
+	Serve string `toml:"serve" json:"serve"`
+}
+
+// Node is one running copy.
+type Node struct {
+	cfg    Config
+	raft   *raft.Raft
+	hub    *hub
+	server *Server
+	http   *http.Server
+	listen net.Listener
+	close  []func() error
+	log    *slog.Logger
+}
+
+// Open starts the copy's raft and binds its address; Run serves.
+func Open(cfg Config) (n *Node, err error) {
+	cfg.defaults()
+	if cfg.Keep == 0 {
+		cfg.Keep = 10_000
+	}
+	orDuration(&cfg.Beat, 200*time.Millisecond)
+	n = &Node{cfg: cfg, hub: newHub(cfg.Keep), log: cfg.Log}
+	defer func() {
+		if err != nil {
+			n.shut()
+		}
+	}()
+	if n.listen, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return nil, fmt.Errorf("registry: listen: %w", err)
+	}
+	n.close = append(n.close, n.listen.Close)
+	n.server = newServer(n.hub, n, cfg.Options)
+	if err := n.openRaft(); err != nil {
+		return nil, err
+	}
+	n.http = &http.Server{Handler: n.server.Handler(), ReadHeaderTimeout: 5 * time.Second,
+		ErrorLog: slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug)}
+	return n, nil
+}
+
+// openRaft opens the log and the snapshots, and founds the cluster if this is the first start of a founder.
+func (n *Node) openRaft() error {
+	c := raft.DefaultConfig()
+	c.LocalID = raft.ServerID(n.cfg.Name)
+	c.HeartbeatTimeout, c.ElectionTimeout = 5*n.cfg.Beat, 5*n.cfg.Beat
+	c.LeaderLeaseTimeout = 3 * n.cfg.Beat // a leader that is cut off steps down before others elect another
+	c.CommitTimeout = 10 * time.Millisecond
+	c.SnapshotInterval, c.SnapshotThreshold, c.TrailingLogs = 30*time.Second, 8192, 4096
+	// raft logs through hclog; what matters of it is told as the copy's own state.
+	c.Logger = hclog.New(&hclog.LoggerOptions{Name: "raft", Output: io.Discard, Level: hclog.Error})
+
+	var logs raft.LogStore
+	var stable raft.StableStore
+	var snaps raft.SnapshotStore
+	if n.cfg.Dir == "" {
+		mem := raft.NewInmemStore()
+		logs, stable, snaps = mem, mem, raft.NewInmemSnapshotStore()
+	} else {
+		if err := os.MkdirAll(n.cfg.Dir, 0o755); err != nil {
+			return fmt.Errorf("registry: %w", err)
+		}
+		kept, err := openStore(filepath.Join(n.cfg.Dir, "raft.db"))
+		if err != nil {
+			return fmt.Errorf("registry: log: %w", err)
+		}
+		n.close = append(n.close, kept.Close)
+		files, err := raft.NewFileSnapshotStoreWithLogger(n.cfg.Dir, 2, c.Logger)
+		if err != nil {
+			return fmt.Errorf("registry: snapshots in %s: %w", n.cfg.Dir, err)
+		}
+		logs, stable, snaps = kept, kept, files
+	}
+	wire, err := raft.NewTCPTransportWithLogger(n.cfg.Raft, nil, 3, 2*time.Second, c.Logger)
+	if err != nil {
+		return fmt.Errorf("registry: raft at %s: %w", n.cfg.Raft, err)
+	}
+	n.close = append(n.close, func() error {
+		wire.CloseStreams() // the other copies' ends of them end with it
+		return wire.Close()
+	})
+	old, err := raft.HasExistingState(logs, stable, snaps)
+	if err != nil {
+		return fmt.Errorf("registry: %w", err)
+	}
+	if n.raft, err = raft.NewRaft(c, (*machine)(n), logs, stable, snaps, wire); err != nil {
+		return fmt.Errorf("registry: raft: %w", err)
+	}
+	n.close = append(n.close, func() error { return n.raft.Shutdown().Error() })
+	if old || n.cfg.Join {
+		return nil
+	}
+	peers := n.cfg.Peers
+	if len(peers) == 0 {
+		peers = []Peer{{Name: n.cfg.Name, Raft: string(wire.LocalAddr()), Serve: n.Addr()}}
+	}
+	var servers []raft.Server
+	for _, p := range peers {
+		servers = append(servers, raft.Server{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Raft)})
+	}
+	if err := n.raft.BootstrapCluster(raft.Configuration{Servers: servers}).Error(); err != nil {
+		return fmt.Errorf("registry: found a cluster: %w", err)
+	}
+	return nil
+}
+
+// Addr is where readers and writers come.
+func (n *Node) Addr() string { return n.listen.Addr().String() }
+
+// Server is what answers them.
+func (n *Node) Server() *Server { return n.server }
+
+// Run serves until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	defer n.shut()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { n.server.Run(ctx) })
+	wg.Go(func() { n.lead(ctx) })
+	failed := make(chan error, 1)
+	base, stop := context.WithCancel(ctx)
+	defer stop()
+	n.http.BaseContext = func(net.Listener) context.Context { return base } // ends watches
+	wg.Go(func() { failed <- n.http.Serve(n.listen) })
+	n.log.Info("registry: serves", "name", n.cfg.Name, "listen", n.Addr())
+	select {
+	case err := <-failed:
+		return fmt.Errorf("registry: %w", err)
+	case <-ctx.Done():
+	}
+	stop()
+	end, done := context.WithTimeout(context.Background(), time.Second)
+	defer done()
+	if err := n.http.Shutdown(end); err != nil {
+		return errors.Join(n.http.Close())
+	}
+	return nil
+}
+
+// shut closes in the order opposite to opening.
+func (n *Node) shut() {
+	for i := len(n.close) - 1; i >= 0; i-- {
+		if err := n.close[i](); err != nil && !errors.Is(err, net.ErrClosed) {
+			n.log.Debug("registry: close", "error", err)
+		}
+	}
+	n.close = nil
+}
+
+// lead does what a new leader owes: it begins the history if there is none, and says where the copies serve.
+func (n *Node) lead(ctx context.Context) {
+	for {
+		var leads bool
+		select {
+		case <-ctx.Done():
+			return
+		case leads = <-n.raft.LeaderCh():
+		}
+		if !leads {
+			n.log.Info("registry: leads no more", "name", n.cfg.Name)
+			continue
+		}
+		n.log.Info("registry: leads", "name", n.cfg.Name)
+		// All that was committed before has to be applied first: whether there is a history shows only then.
+		if err := n.raft.Barrier(applyWait).Error(); err != nil {
+			continue // it leads no more
+		}
+		commands := []*Command{}
+		var rev int64
+		var members map[string]string
+		n.hub.read(func(s *State) { rev, members = s.Rev(), s.Members() })
+		if rev == 0 {
+			commands = append(commands, &Command{Op: OpBegin, Epoch: NextEpoch(time.Now(), 0)})
+		}
+		if members[n.cfg.Name] != n.Addr() {
+			commands = append(commands, &Command{Op: OpMember, UID: n.cfg.Name, Address: n.Addr()})
+		}
+		for _, p := range n.cfg.Peers {
+			if p.Name != n.cfg.Name && members[p.Name] == "" {
+				commands = append(commands, &Command{Op: OpMember, UID: p.Name, Address: p.Serve})
+			}
+		}
+		for _, c := range commands {
+			if _, err := n.Apply(c, applyWait); err != nil {
+				n.log.Warn("registry: a new leader's first writes", "error", err)
+				break
+			}
+		}
+	}
+}
+
+// result is what the machine gives back for a command.
+type result struct {
+	rev int64
+	err error
+}
+
+// Apply carries out a command once a majority has it.
+func (n *Node) Apply(c *Command, wait time.Duration) (int64, error) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return 0, fmt.Errorf("registry: %w", err)
+	}
+	f := n.raft.Apply(data, wait)
+	if err := f.Error(); err != nil {
+		switch {
+		case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrLeadershipTransferInProgress):
+			return 0, ErrNotLeader
+		case errors.Is(err, raft.ErrLeadershipLost), errors.Is(err, raft.ErrEnqueueTimeout):
+			return 0, fmt.Errorf("%w; whether the write has happened is not known", ErrNoQuorum)
+		}
+		return 0, fmt.Errorf("registry: %w", err)
+	}
+	r := f.Response().(result)
+	return r.rev, r.err
+}
+
+// Leader tells whether this copy leads, and where the one that does serves.
+func (n *Node) Leader() (bool, string) {
+	if n.raft.State() == raft.Leader {
+		return true, n.Addr()
+	}
+	_, id := n.raft.LeaderWithID()
+	if id == "" {
+		return false, ""
+	}
+	var address string
+	n.hub.read(func(s *State) { address = s.members[string(id)] })
+	return false, address
+}
+
+// Heard is how long ago this copy heard from its leader.
+func (n *Node) Heard() time.Duration {
+	if n.raft.State() == raft.Leader {
+		return 0
+	}
+	if last := n.raft.LastContact(); !last.IsZero() {
+		return time.Since(last)
+	}
+	return time.Hour // never yet
+}
+
+// Add makes another copy a member of the cluster, a voter. It is the leader's to do.
+func (n *Node) Add(p Peer) error {
+	if err := n.raft.AddVoter(raft.ServerID(p.Name), raft.ServerAddress(p.Raft), 0, applyWait).Error(); err != nil {
+		return fmt.Errorf("registry: add %s: %w", p.Name, err)
+	}
+	_, err := n.Apply(&Command{Op: OpMember, UID: p.Name, Address: p.Serve}, applyWait)
+	return err
+}
+
+// Remove takes a copy out of the cluster. It is the leader's to do.
+func (n *Node) Remove(name string) error {
+	if err := n.raft.RemoveServer(raft.ServerID(name), 0, applyWait).Error(); err != nil {
+		return fmt.Errorf("registry: remove %s: %w", name, err)
+	}
+	_, err := n.Apply(&Command{Op: OpMember, UID: name}, applyWait)
+	return err
+}
+
+// machine is the node as raft drives it.
+type machine Node
+
+// Apply carries out a committed command.
+func (m *machine) Apply(l *raft.Log) any {
+	var c Command
+	if err := json.Unmarshal(l.Data, &c); err != nil {
+		return result{err: fmt.Errorf("registry: log entry %d: %w", l.Index, err)}
+	}
+	var r result
+	m.hub.read(func(s *State) { r.rev, r.err = s.Apply(&c) })
+	m.server.stir()
+	return r
+}
+
+// Snapshot takes a copy of the state, which is written out later.
+func (m *machine) Snapshot() (raft.FSMSnapshot, error) {
+	var s *saved
+	m.hub.read(func(st *State) { s = st.save() })
+	return snapshot{s}, nil
+}
+
+// Restore puts a snapshot in the state's place.
+func (m *machine) Restore(from io.ReadCloser) error {
+	defer from.Close()
+	var in saved
+	if err := json.NewDecoder(from).Decode(&in); err != nil {
+		return fmt.Errorf("registry: snapshot: %w", err)
+	}
+	s := NewState(m.cfg.Keep)
+	if err := s.load(&in); err != nil {
+		return err
+	}
+	return m.hub.replace(s)
+}
+
+type snapshot struct{ s *saved }
+
+// Persist writes the snapshot whole or not at all.
+func (s snapshot) Persist(sink raft.SnapshotSink) error {
+	if err := json.NewEncoder(sink).Encode(s.s); err != nil {
+		return errors.Join(fmt.Errorf("registry: snapshot: %w", err), sink.Cancel())
+	}
+	return sink.Close()
+}
+
+// Release does nothing: the snapshot is this program's own copy.
+func (snapshot) Release() {}
--- /dev/null
+++ b/internal/registry/node_test.go
@@ -0,0 +1,552 @@
+package registry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/raft"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 20 * time.Second
+
+// copyOf is a copy under test that can be stopped and started again.
+type copyOf struct {
+	cfg   Config
+	node  *Node
+	stop  context.CancelFunc
+	ended chan error
+}
+
+func (c *copyOf) start(t *testing.T) {
+	t.Helper()
+	n, err := Open(c.cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	c.node, c.stop, c.ended = n, stop, make(chan error, 1)
+	c.cfg.Listen = n.Addr()
+	go func(ended chan error) { ended <- n.Run(ctx) }(c.ended)
+}
+
+func (c *copyOf) end(t *testing.T) {
+	t.Helper()
+	if c.stop == nil {
+		return
+	}
+	c.stop()
+	if err := <-c.ended; err != nil {
+		t.Errorf("%s ended with %v", c.cfg.Name, err)
+	}
+	c.stop = nil
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// cluster starts n copies and waits for their leader and its first writes.
+func cluster(t *testing.T, n int, change func(*Config)) []*copyOf {
+	t.Helper()
+	var peers []Peer
+	for i := range n {
+		peers = append(peers, Peer{Name: fmt.Sprint("r", i), Raft: freePort(t), Serve: freePort(t)})
+	}
+	var all []*copyOf
+	for i, p := range peers {
+		c := &copyOf{cfg: Config{Name: p.Name, Listen: p.Serve, Raft: p.Raft, Peers: peers, Beat: 50 * time.Millisecond,
+			Dir: filepath.Join(t.TempDir(), fmt.Sprint(i)), Options: Options{Batch: time.Millisecond}}}
+		if change != nil {
+			change(&c.cfg)
+		}
+		c.start(t)
+		t.Cleanup(func() { c.end(t) })
+		all = append(all, c)
+	}
+	leader(t, all)
+	return all
+}
+
+// leader waits until one copy leads and all that run know it and the beginning of the history.
+func leader(t *testing.T, all []*copyOf) *copyOf {
+	t.Helper()
+	var found *copyOf
+	until(t, "a leader that all know", func() bool {
+		found = nil
+		for _, c := range all {
+			if c.stop == nil {
+				continue
+			}
+			st := c.node.Server().Status()
+			if st.Leads {
+				found = c
+			}
+			if st.Leader == "" || st.Rev == 0 {
+				return false
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// call does one request without kept connections and follows redirects, as a writer does.
+func call(t *testing.T, method, addr, path, body string) (int, string) {
+	t.Helper()
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+	req, err := http.NewRequest(method, "http://"+addr+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(text)
+}
+
+func put(t *testing.T, c *copyOf, uid string, boot, lease int64) {
+	t.Helper()
+	body := fmt.Sprintf(`{"endpoint":"127.0.0.1:1","az":"a","boot_ms":%d,"lease_ms":%d}`, boot, lease)
+	if code, text := call(t, "POST", c.cfg.Listen, listPath+"/"+uid, body); code != 200 {
+		t.Fatalf("put %s: %d %s", uid, code, text)
+	}
+}
+
+func uids(t *testing.T, c *copyOf) string {
+	t.Helper()
+	_, text := call(t, "GET", c.cfg.Listen, listPath, "")
+	var l List
+	if err := json.Unmarshal([]byte(text), &l); err != nil {
+		t.Fatalf("%s: %v", text, err)
+	}
+	var all []string
+	for _, e := range l.Targets {
+		all = append(all, e.UID+"="+e.State)
+	}
+	return strings.Join(all, " ")
+}
+
+// watcher follows one copy and checks what it is told.
+type watcher struct {
+	lines chan List
+	stop  context.CancelFunc
+	done  chan struct{}
+}
+
+func watch(t *testing.T, addr string, after int64) *watcher {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, "GET", fmt.Sprintf("http://%s%s?watch=1&after=%d", addr, listPath, after), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &watcher{lines: make(chan List, 1000), stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(w.done)
+		defer resp.Body.Close()
+		in := bufio.NewReader(resp.Body)
+		for {
+			line, err := in.ReadBytes('\n')
+			if err != nil {
+				return
+			}
+			if line = bytes.TrimSpace(line); len(line) == 0 {
+				continue
+			}
+			var l List
+			if json.Unmarshal(line, &l) == nil {
+				w.lines <- l
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-w.done
+	})
+	return w
+}
+
+func (w *watcher) next(t *testing.T) List {
+	t.Helper()
+	select {
+	case l := <-w.lines:
+		return l
+	case <-time.After(patience):
+		t.Fatal("the watcher was told nothing")
+		return List{}
+	}
+}
+
+func TestOneCopy(t *testing.T) {
+	all := cluster(t, 1, func(c *Config) { c.Dir, c.Peers = "", nil })
+	one := all[0]
+	w := watch(t, one.cfg.Listen, 0)
+	if l := w.next(t); !l.All || len(l.Targets) != 0 || EpochOf(l.Rev) == 0 {
+		t.Errorf("at first %+v", l)
+	}
+	put(t, one, "s1", 5, 0)
+	first := w.next(t)
+	if first.All || len(first.Targets) != 1 || first.Targets[0].UID != "s1" || first.Targets[0].State != Ready {
+		t.Errorf("a change: %+v", first)
+	}
+	if code, _ := call(t, "POST", one.cfg.Listen, listPath+"/s1/drain", ""); code != 200 {
+		t.Errorf("drain: %d", code)
+	}
+	if l := w.next(t); len(l.Targets) != 1 || l.Targets[0].State != Terminating || l.Rev <= first.Rev {
+		t.Errorf("a drain: %+v", l)
+	}
+	if code, text := call(t, "POST", one.cfg.Listen, listPath+"/s1", `{"endpoint":"127.0.0.1:1","az":"a","boot_ms":5}`); code != 409 {
+		t.Errorf("a late registration: %d %s", code, text)
+	}
+	if code, _ := call(t, "DELETE", one.cfg.Listen, listPath+"/s1?if=1", ""); code != 409 {
+		t.Errorf("a conditional removal: %d", code)
+	}
+	if code, _ := call(t, "DELETE", one.cfg.Listen, listPath+"/s1", ""); code != 200 {
+		t.Errorf("removal: %d", code)
+	}
+	if l := w.next(t); len(l.Targets) != 1 || l.Targets[0].State != Gone {
+		t.Errorf("a removal: %+v", l)
+	}
+	late := watch(t, one.cfg.Listen, first.Rev)
+	if l := late.next(t); l.All || len(l.Targets) != 1 || l.Targets[0].State != Gone {
+		t.Errorf("who comes back is told %+v", l)
+	}
+	for _, bad := range []struct{ method, path, body, text string }{
+		{"POST", "/s2", "{", "no entry"}, {"POST", "/s2", `{"az":"a"}`, "endpoint"},
+		{"POST", "/s2", `{"endpoint":"x:1","uid":"s3"}`, `"s3"`}, {"POST", "/s2", `{"endpoint":"x:1","lease_ms":-1}`, "lease_ms"},
+		{"POST", "/s2", `{"endpoint":"x:1","state":"Gone"}`, "neither Ready nor"}, {"POST", "/s2?if=x", `{"endpoint":"x:1"}`, "if is no"},
+		{"GET", "?watch=1&after=x", "", "after is no"},
+	} {
+		if code, text := call(t, bad.method, one.cfg.Listen, listPath+bad.path, bad.body); code != 400 || !strings.Contains(text, bad.text) {
+			t.Errorf("%s %s %s: %d %s", bad.method, bad.path, bad.body, code, text)
+		}
+	}
+	if code, text := call(t, "GET", one.cfg.Listen, "/stats", ""); code != 200 || !strings.Contains(text, "registry_watches 2") {
+		t.Errorf("stats: %d %s", code, text)
+	}
+}
+
+// A burst is a few lines, and each revision is told once.
+func TestBurstIsGathered(t *testing.T) {
+	one := cluster(t, 1, func(c *Config) { c.Dir, c.Peers, c.Batch = "", nil, 200*time.Millisecond })[0]
+	w := watch(t, one.cfg.Listen, 0)
+	last := w.next(t).Rev
+	const writes = 30
+	for i := range writes {
+		put(t, one, fmt.Sprint("s", i), 1, 0)
+	}
+	lines, entries := 0, 0
+	for entries < writes {
+		l := w.next(t)
+		if l.Rev <= last || l.All {
+			t.Fatalf("after revision %d came %+v", last, l)
+		}
+		last, lines, entries = l.Rev, lines+1, entries+len(l.Targets)
+	}
+	if lines > writes/2 {
+		t.Errorf("%d changes came in %d lines", writes, lines)
+	}
+}
+
+func TestThreeCopies(t *testing.T) {
+	all := cluster(t, 3, nil)
+	lead := leader(t, all)
+	var follower *copyOf
+	for _, c := range all {
+		if c != lead {
+			follower = c
+		}
+	}
+	put(t, follower, "s1", 1, 0) // redirected
+	for _, c := range all {
+		until(t, "s1 at "+c.cfg.Name, func() bool { return uids(t, c) == "s1=Ready" })
+	}
+
+	// The leader goes; what was acknowledged stays, and writes go on.
+	lead.end(t)
+	next := leader(t, all)
+	if next == lead {
+		t.Fatal("the ended copy leads")
+	}
+	put(t, next, "s2", 1, 0)
+	until(t, "both entries", func() bool { return uids(t, next) == "s1=Ready s2=Ready" })
+
+	// It comes back from its disk and catches up.
+	lead.start(t)
+	until(t, "the copy that came back", func() bool { return uids(t, lead) == "s1=Ready s2=Ready" })
+
+	// Without a majority writes are refused, at once once the leader knows; reads go on.
+	var alone *copyOf
+	for _, c := range all {
+		if alone == nil {
+			alone = c
+			continue
+		}
+		c.end(t)
+	}
+	until(t, "the one that is left to lead no more", func() bool {
+		me, leader := alone.node.Leader()
+		return !me && leader == ""
+	})
+	began := time.Now()
+	code, text := call(t, "POST", alone.cfg.Listen, listPath+"/s3", `{"endpoint":"127.0.0.1:1"}`)
+	if code != 503 || !strings.Contains(text, "no majority") || time.Since(began) > applyWait/2 {
+		t.Errorf("a write without a majority: %d %s after %v", code, text, time.Since(began))
+	}
+	if got := uids(t, alone); got != "s1=Ready s2=Ready" {
+		t.Errorf("it reads %s", got)
+	}
+	if code, _ := call(t, "GET", alone.cfg.Listen, "/healthcheck", ""); code != 503 {
+		t.Errorf("its health: %d", code)
+	}
+}
+
+func TestCopiesAreAddedAndRemoved(t *testing.T) {
+	one := cluster(t, 1, nil)[0]
+	put(t, one, "s1", 1, 0)
+	two := &copyOf{cfg: Config{Name: "r9", Listen: freePort(t), Raft: freePort(t), Join: true, Beat: 50 * time.Millisecond,
+		Dir: t.TempDir(), Options: Options{Batch: time.Millisecond}}}
+	two.start(t)
+	t.Cleanup(func() { two.end(t) })
+	if code, _ := call(t, "GET", two.cfg.Listen, "/healthcheck", ""); code != 503 {
+		t.Errorf("a copy that nobody has added is healthy: %d", code)
+	}
+	if err := one.node.Add(Peer{Name: "r9", Raft: two.cfg.Raft, Serve: two.cfg.Listen}); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the list at the added copy", func() bool { return uids(t, two) == "s1=Ready" })
+	put(t, two, "s2", 1, 0) // redirected to the first
+	if err := one.node.Remove("r9"); err != nil {
+		t.Fatal(err)
+	}
+	put(t, one, "s3", 1, 0)
+	if m := one.node.Server().Status().Members; len(m) != 1 || m["r0"] == "" {
+		t.Errorf("members are %v", m)
+	}
+}
+
+// Leases end on the leader's word, renewals keep them, and too many at once are kept.
+func TestLeases(t *testing.T) {
+	one := cluster(t, 1, func(c *Config) { c.Dir, c.Peers = "", nil })[0]
+	const lease = 600 // ms
+	put(t, one, "dies", 1, lease)
+	for i := range 9 {
+		put(t, one, fmt.Sprint("stays", i), 1, lease)
+	}
+	renew := func(n int) {
+		for i := range n {
+			if code, text := call(t, "POST", one.cfg.Listen, fmt.Sprint(listPath, "/stays", i, "/renew"), ""); code != 200 {
+				t.Fatalf("renew: %d %s", code, text)
+			}
+		}
+	}
+	until(t, "the end of one lease", func() bool {
+		renew(9)
+		return !strings.Contains(uids(t, one), "dies")
+	})
+	if code, _ := call(t, "POST", one.cfg.Listen, listPath+"/dies/renew", ""); code != 404 {
+		t.Errorf("the renewal of an ended lease: %d", code)
+	}
+	// Nobody renews any more: that looks like a cut-off, and all stay listed.
+	until(t, "leases that are held", func() bool { return one.node.Server().Status().Held == 9 })
+	if _, text := call(t, "GET", one.cfg.Listen, "/healthcheck", ""); !strings.Contains(text, "9 entries whose leases ended together are kept") {
+		t.Errorf("health says %s", text)
+	}
+	if got := strings.Count(uids(t, one), "stays"); got != 9 {
+		t.Errorf("%d entries are left", got)
+	}
+	// Most come back: the others have died after all.
+	until(t, "the end of the two that did not come back", func() bool {
+		renew(7)
+		return strings.Count(uids(t, one), "stays") == 7
+	})
+}
+
+func TestCrowdIsAdmittedAtARate(t *testing.T) {
+	one := cluster(t, 1, func(c *Config) { c.Dir, c.Peers, c.Watches, c.Burst = "", nil, 0.001, 3 })[0]
+	codes := map[int]int{}
+	for range 6 {
+		resp, err := http.Get("http://" + one.cfg.Listen + listPath)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		codes[resp.StatusCode]++
+		if resp.StatusCode == 503 && resp.Header.Get("Retry-After") == "" {
+			t.Error("a reader is turned away and not told when to come back")
+		}
+	}
+	http.DefaultClient.CloseIdleConnections()
+	if codes[200] != 3 || codes[503] != 3 {
+		t.Errorf("answers %v", codes)
+	}
+}
+
+// held is a watcher that takes its first line only when it is let.
+type held struct {
+	header http.Header
+	began  chan struct{}
+	let    chan struct{}
+	lines  int
+}
+
+func (h *held) Header() http.Header              { return h.header }
+func (h *held) WriteHeader(int)                  {}
+func (h *held) Flush()                           {}
+func (h *held) SetWriteDeadline(time.Time) error { return nil }
+func (h *held) Write(text []byte) (int, error) {
+	if h.lines++; h.lines == 1 {
+		close(h.began)
+		<-h.let
+	}
+	return len(text), nil
+}
+
+// A watcher that is too far behind is ended, and has held nobody back meanwhile.
+func TestSlowWatcherIsEnded(t *testing.T) {
+	one := cluster(t, 1, func(c *Config) { c.Dir, c.Peers = "", nil })[0]
+	s := one.node.Server()
+	slow := &held{header: http.Header{}, began: make(chan struct{}), let: make(chan struct{})}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.watch(slow, httptest.NewRequestWithContext(t.Context(), "GET", listPath+"?watch=1&after=0", nil), 0)
+	}()
+	<-slow.began
+	quick := watch(t, one.cfg.Listen, 0)
+	quick.next(t)
+	for i := range mostBehind + 2 {
+		s.hub.read(func(st *State) { _, _ = st.Apply(&Command{Op: OpPut, Entry: entry("s", int64(i))}) })
+		if err := s.hub.publish(); err != nil {
+			t.Fatal(err)
+		}
+		quick.next(t)
+	}
+	close(slow.let)
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Fatal("the slow watcher goes on")
+	}
+	if slow.lines != 1 {
+		t.Errorf("it was told %d lines", slow.lines)
+	}
+	if _, text := call(t, "GET", one.cfg.Listen, "/stats", ""); !strings.Contains(text, "registry_watchers_ended_total 1") {
+		t.Errorf("the figures do not show it: %s", text)
+	}
+}
+
+func TestStore(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "raft.db")
+	s, err := openStore(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := openStore(path); err == nil || !strings.Contains(err.Error(), "another process") {
+		t.Errorf("opened twice: %v", err)
+	}
+	var logs []*raft.Log
+	for i := uint64(1); i <= 500; i++ {
+		logs = append(logs, &raft.Log{Index: i, Term: 3, Data: fmt.Appendf(nil, "entry %d", i)})
+	}
+	if err := s.StoreLogs(logs); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.DeleteRange(1, 100); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.DeleteRange(401, 500); err != nil {
+		t.Fatal(err)
+	}
+	first, _ := s.FirstIndex()
+	last, _ := s.LastIndex()
+	if first != 101 || last != 400 {
+		t.Errorf("it keeps %d to %d", first, last)
+	}
+	var l raft.Log
+	for i := uint64(101); i <= 400; i++ {
+		if err := s.GetLog(i, &l); err != nil || string(l.Data) != fmt.Sprintf("entry %d", i) || l.Term != 3 {
+			t.Fatalf("entry %d: %+v, %v", i, l, err)
+		}
+	}
+	if err := s.GetLog(100, &l); !errors.Is(err, raft.ErrLogNotFound) {
+		t.Errorf("a removed entry: %v", err)
+	}
+	if _, err := s.GetUint64([]byte("none")); err == nil || err.Error() != "not found" {
+		t.Errorf("an absent value: %v", err)
+	}
+	if err := s.SetUint64([]byte("term"), 7); err != nil {
+		t.Fatal(err)
+	}
+	if v, err := s.GetUint64([]byte("term")); v != 7 || err != nil {
+		t.Errorf("a value: %d, %v", v, err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Every flipped bit of a log entry is found out.
+func TestSpoiltEntryIsFoundOut(t *testing.T) {
+	dir := t.TempDir()
+	s, err := openStore(filepath.Join(dir, "raft.db"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if err := s.StoreLog(&raft.Log{Index: 1, Term: 1, Data: []byte("precious")}); err != nil {
+		t.Fatal(err)
+	}
+	good, err := s.raw(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var l raft.Log
+	for bit := range 8 * len(good) {
+		bad := bytes.Clone(good)
+		bad[bit/8] ^= 1 << (bit % 8)
+		if err := decodeLog(1, bad, &l); !errors.Is(err, errCorrupt) {
+			t.Fatalf("bit %d: %v", bit, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/registry/server.go
@@ -0,0 +1,576 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const (
+	listPath = "/registry/instances"
+
+	// beat is how often an empty line comes on a watch without changes, as the platform's protocol has it.
+	beat = 2 * time.Second
+	// writeWait is how long a watcher may take for one line.
+	writeWait = 5 * time.Second
+	maxWrite  = 64 << 10 // bytes of a write's body
+	applyWait = 5 * time.Second
+)
+
+// Replica is the replicated log under a server: raft, or nothing but this process.
+type Replica interface {
+	// Apply carries out a command once it is on a majority. A copy that is not the leader answers ErrNotLeader.
+	Apply(c *Command, wait time.Duration) (rev int64, err error)
+	// Leader tells whether this copy leads, and where the one that does serves; empty: nobody is known to.
+	Leader() (me bool, address string)
+	// Heard is how long ago this copy heard from its leader; 0 at the leader.
+	Heard() time.Duration
+}
+
+// Errors of a copy that cannot write.
+var (
+	ErrNotLeader = errors.New("this copy does not lead")
+	ErrNoQuorum  = errors.New("no majority of the copies can be reached")
+)
+
+// Options are what a server may be told. Zero values stand for the defaults.
+type Options struct {
+	Batch     time.Duration // for which changes are gathered into one line; 20 ms
+	Watches   float64       // watches and whole lists that may begin a second; 500
+	Burst     int           // ... at once; 200
+	MostStale time.Duration // reads are refused on a copy that has heard nothing for longer; 0: never
+	HoldShare float64       // of the leased entries: if more expire together, they are kept; 0.3
+	Log       *slog.Logger
+}
+
+func (o *Options) defaults() {
+	orDuration(&o.Batch, 20*time.Millisecond)
+	if o.Watches == 0 {
+		o.Watches = 500
+	}
+	if o.Burst == 0 {
+		o.Burst = 200
+	}
+	if o.HoldShare == 0 {
+		o.HoldShare = 0.3
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+}
+
+func orDuration(d *time.Duration, otherwise time.Duration) {
+	if *d == 0 {
+		*d = otherwise
+	}
+}
+
+// Server answers readers and writers of one copy.
+type Server struct {
+	hub     *hub
+	replica Replica
+	o       atomic.Pointer[Options]
+	log     *slog.Logger
+	leases  *leases
+	admit   bucket
+	stirred chan struct{}
+	figures *figures
+	watches atomic.Int64
+}
+
+// newServer makes a server over a hub whose state the replica changes. Run has to run for news to pass.
+func newServer(h *hub, r Replica, o Options) *Server {
+	o.defaults()
+	s := &Server{hub: h, replica: r, log: o.Log, stirred: make(chan struct{}, 1), leases: newLeases()}
+	s.o.Store(&o)
+	s.admit.level = float64(o.Burst)
+	s.figures = newFigures(s)
+	return s
+}
+
+// Reload takes in other options; the log stays.
+func (s *Server) Reload(o Options) {
+	o.defaults()
+	s.o.Store(&o)
+}
+
+// stir says that the state has changed. It never blocks.
+func (s *Server) stir() {
+	select {
+	case s.stirred <- struct{}{}:
+	default:
+	}
+}
+
+// Run passes changes on and expires leases until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { s.expireLoop(ctx) })
+	defer wg.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.stirred:
+		}
+		// The first change after a pause is told at once but for the batch; a burst becomes a few lines.
+		t := time.NewTimer(s.o.Load().Batch)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+		if err := s.hub.publish(); err != nil {
+			s.log.Error("registry: news cannot be told", "error", err)
+		}
+	}
+}
+
+// Handler serves the list, writes, health and figures.
+func (s *Server) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET "+listPath, s.list)
+	m.HandleFunc("POST "+listPath+"/{uid}", s.put)
+	m.HandleFunc("POST "+listPath+"/{uid}/renew", s.renew)
+	m.HandleFunc("POST "+listPath+"/{uid}/drain", func(w http.ResponseWriter, r *http.Request) { s.change(w, r, OpDrain) })
+	m.HandleFunc("DELETE "+listPath+"/{uid}", func(w http.ResponseWriter, r *http.Request) { s.change(w, r, OpRemove) })
+	m.HandleFunc("GET /registry/status", s.status)
+	m.HandleFunc("GET /registry/snapshot", s.snapshot)
+	if c, ok := s.replica.(copies); ok {
+		m.HandleFunc("POST /registry/copies/{name}", func(w http.ResponseWriter, r *http.Request) { s.add(w, r, c) })
+		m.HandleFunc("DELETE /registry/copies/{name}", func(w http.ResponseWriter, r *http.Request) {
+			if s.leading(w, r) {
+				s.answer(w, c.Remove(r.PathValue("name")))
+			}
+		})
+	}
+	m.HandleFunc("GET /healthcheck", s.health)
+	m.Handle("GET /stats", promhttp.HandlerFor(s.figures.registry, promhttp.HandlerOpts{}))
+	return m
+}
+
+// stale tells whether this copy is too far behind to be read.
+func (s *Server) stale() (time.Duration, bool) {
+	age, most := s.replica.Heard(), s.o.Load().MostStale
+	return age, most > 0 && age > most
+}
+
+// note puts what a reader may want to know of this copy into the answer's head.
+func (s *Server) note(w http.ResponseWriter, rev int64) {
+	me, _ := s.replica.Leader()
+	role := "follower"
+	if me {
+		role = "leader"
+	}
+	h := w.Header()
+	h.Set("X-Registry-Role", role)
+	h.Set("X-Registry-Heard-Ms", strconv.FormatInt(s.replica.Heard().Milliseconds(), 10))
+	if rev > 0 {
+		h.Set("X-Registry-Rev", strconv.FormatInt(rev, 10))
+	}
+}
+
+// turnAway tells how long a reader has to wait; 0: it is admitted.
+func (s *Server) turnAway() time.Duration {
+	o := s.o.Load()
+	return s.admit.take(time.Now(), o.Watches, float64(o.Burst))
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	if age, stale := s.stale(); stale {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, fmt.Sprintf("this copy has heard nothing of a leader for %v", age.Round(time.Millisecond)), http.StatusServiceUnavailable)
+		return
+	}
+	if wait := s.turnAway(); wait > 0 {
+		s.figures.turned.Inc()
+		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		http.Error(w, "too many readers come at once", http.StatusServiceUnavailable)
+		return
+	}
+	q := r.URL.Query()
+	if q.Get("watch") == "" {
+		l, err := s.hub.whole()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		s.note(w, l.rev)
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Length", strconv.Itoa(len(l.text)))
+		_, _ = w.Write(l.text) // a reader that is gone needs nothing
+		return
+	}
+	after := int64(-1)
+	if text := q.Get("after"); text != "" {
+		var err error
+		if after, err = strconv.ParseInt(text, 10, 64); err != nil {
+			http.Error(w, "after is no revision: "+strconv.Quote(text), http.StatusBadRequest)
+			return
+		}
+	}
+	s.watch(w, r, after)
+}
+
+// watch tells one watcher all changes until either side ends it.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, after int64) {
+	first, at, err := s.hub.join(after)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	s.watches.Add(1)
+	defer s.watches.Add(-1)
+	s.note(w, at.rev)
+	w.Header().Set("Content-Type", "application/json")
+	control := http.NewResponseController(w)
+	say := func(text []byte) bool {
+		if err := control.SetWriteDeadline(time.Now().Add(writeWait)); err != nil {
+			return false
+		}
+		if _, err := w.Write(text); err != nil {
+			return false
+		}
+		s.figures.bytes.Add(float64(len(text)))
+		return control.Flush() == nil
+	}
+	if len(first) == 0 {
+		first = []byte("\n")
+	}
+	if !say(first) {
+		return
+	}
+	tick := time.NewTicker(beat)
+	defer tick.Stop()
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-tick.C:
+			if _, stale := s.stale(); stale || !say([]byte("\n")) {
+				return // a watch on a copy that is cut off would look alive and tell nothing
+			}
+			continue
+		case <-at.ready:
+		}
+		at = at.next
+		if s.hub.lines.Load()-at.n > mostBehind {
+			s.figures.slow.Inc()
+			return
+		}
+		if !say(at.text) {
+			s.figures.slow.Inc()
+			return
+		}
+	}
+}
+
+// registration is the body of a write: an entry in the platform's form, with its lease.
+type registration struct {
+	Entry
+	LeaseMS int64 `json:"lease_ms"`
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxWrite))
+	if err != nil {
+		http.Error(w, "the body cannot be read: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	reg := registration{Entry: Entry{UID: r.PathValue("uid"), State: Ready, Capacity: 1}}
+	if err := json.Unmarshal(body, &reg); err != nil {
+		http.Error(w, "the body is no entry: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	switch {
+	case reg.UID != r.PathValue("uid"):
+		http.Error(w, fmt.Sprintf("the entry is of %q, the path of %q", reg.UID, r.PathValue("uid")), http.StatusBadRequest)
+		return
+	case reg.LeaseMS < 0 || reg.LeaseMS > 24*3600*1000:
+		http.Error(w, "lease_ms is not between 0 and a day", http.StatusBadRequest)
+		return
+	}
+	if err := reg.Check(); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	c := &Command{Op: OpPut, Entry: &reg.Entry, LeaseMS: reg.LeaseMS}
+	s.apply(w, r, c)
+}
+
+func (s *Server) change(w http.ResponseWriter, r *http.Request, op Op) {
+	s.apply(w, r, &Command{Op: op, UID: r.PathValue("uid")})
+}
+
+// renew gives a lease its whole term again. It changes nothing that is told.
+func (s *Server) renew(w http.ResponseWriter, r *http.Request) {
+	if !s.leading(w, r) {
+		return
+	}
+	uid := r.PathValue("uid")
+	var term time.Duration
+	var entry Entry
+	known := false
+	s.hub.read(func(st *State) { entry, _, term, known = st.Get(uid) })
+	if !known {
+		http.Error(w, ErrUnknown.Error()+": register again", http.StatusNotFound)
+		return
+	}
+	s.leases.renew(uid, term, time.Now())
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(w, "{\"state\":%q,\"lease_ms\":%d}\n", entry.State, term.Milliseconds())
+}
+
+// leading tells whether this copy leads; else it sends the caller on or away.
+func (s *Server) leading(w http.ResponseWriter, r *http.Request) bool {
+	me, address := s.replica.Leader()
+	if me {
+		return true
+	}
+	s.note(w, 0)
+	if address == "" {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, ErrNoQuorum.Error(), http.StatusServiceUnavailable)
+		return false
+	}
+	http.Redirect(w, r, "http://"+address+r.URL.RequestURI(), http.StatusTemporaryRedirect)
+	return false
+}
+
+// apply carries out a write and answers with the revision after which readers see it.
+func (s *Server) apply(w http.ResponseWriter, r *http.Request, c *Command) {
+	if text := r.URL.Query().Get("if"); text != "" {
+		rev, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			http.Error(w, "if is no revision: "+strconv.Quote(text), http.StatusBadRequest)
+			return
+		}
+		c.If = &rev
+	}
+	if !s.leading(w, r) {
+		return
+	}
+	rev, err := s.replica.Apply(c, applyWait)
+	if err != nil {
+		status := http.StatusInternalServerError
+		switch {
+		case errors.Is(err, ErrConflict), errors.Is(err, ErrDrained):
+			status = http.StatusConflict
+		case errors.Is(err, ErrUnknown):
+			status = http.StatusNotFound
+		case errors.Is(err, ErrInvalid):
+			status = http.StatusBadRequest
+		case errors.Is(err, ErrNotLeader), errors.Is(err, ErrNoQuorum):
+			status = http.StatusServiceUnavailable
+			w.Header().Set("Retry-After", "1")
+		}
+		http.Error(w, err.Error(), status)
+		return
+	}
+	if c.Op == OpPut && c.LeaseMS > 0 {
+		s.leases.renew(c.Entry.UID, time.Duration(c.LeaseMS)*time.Millisecond, time.Now())
+	}
+	s.note(w, rev)
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(w, "{\"rev\":%d}\n", rev)
+}
+
+// copies is a replica whose members can be changed.
+type copies interface {
+	Add(Peer) error
+	Remove(name string) error
+}
+
+func (s *Server) add(w http.ResponseWriter, r *http.Request, c copies) {
+	var p Peer
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxWrite)).Decode(&p); err != nil {
+		http.Error(w, "the body is no copy: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if p.Name = r.PathValue("name"); p.Raft == "" || p.Serve == "" {
+		http.Error(w, "a copy has the addresses raft and serve", http.StatusBadRequest)
+		return
+	}
+	if s.leading(w, r) {
+		s.answer(w, c.Add(p))
+	}
+}
+
+func (s *Server) answer(w http.ResponseWriter, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "done")
+}
+
+// snapshot gives the whole state as this copy has it, for a backup.
+func (s *Server) snapshot(w http.ResponseWriter, _ *http.Request) {
+	var out *saved
+	s.hub.read(func(st *State) { out = st.save() })
+	s.note(w, out.Rev)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out) // a caller that is gone needs nothing
+}
+
+// Status is what a copy says of itself.
+type Status struct {
+	Leads   bool              `json:"leads"`
+	Leader  string            `json:"leader"`
+	Rev     int64             `json:"rev"`
+	Epoch   int64             `json:"epoch"`
+	Entries int               `json:"entries"`
+	Leased  int               `json:"leased"`
+	Held    int               `json:"held"` // expired together with too many others, and kept
+	Watches int64             `json:"watches"`
+	HeardMS int64             `json:"heard_ms"`
+	Members map[string]string `json:"members"`
+}
+
+// Status reads it.
+func (s *Server) Status() Status {
+	var out Status
+	out.Leads, out.Leader = s.replica.Leader()
+	s.hub.read(func(st *State) {
+		out.Rev, out.Epoch, out.Entries, out.Members = st.Rev(), EpochOf(st.Rev()), st.Len(), st.Members()
+		st.Leased(func(string, int64, time.Duration) { out.Leased++ })
+	})
+	out.Held, out.Watches, out.HeardMS = s.leases.heldCount(), s.watches.Load(), s.replica.Heard().Milliseconds()
+	return out
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", " ")
+	_ = e.Encode(s.Status()) // a caller that is gone needs nothing
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	if age, stale := s.stale(); stale {
+		http.Error(w, fmt.Sprintf("this copy has heard nothing of a leader for %v", age.Round(time.Millisecond)), http.StatusServiceUnavailable)
+		return
+	}
+	if me, leader := s.replica.Leader(); !me && leader == "" {
+		http.Error(w, "no leader is known; reads are answered, writes are not", http.StatusServiceUnavailable)
+		return
+	}
+	if n := s.leases.heldCount(); n > 0 {
+		fmt.Fprintf(w, "ok, but %d entries whose leases ended together are kept\n", n)
+		return
+	}
+	fmt.Fprintln(w, "ok")
+}
+
+// expireEvery is how often leases are looked at.
+const expireEvery = 200 * time.Millisecond
+
+// expireLoop expires leases while this copy leads. When it begins to lead, each has a full term again.
+func (s *Server) expireLoop(ctx context.Context) {
+	t := time.NewTicker(expireEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		me, _ := s.replica.Leader()
+		if !me {
+			s.leases.forget()
+			continue
+		}
+		now := time.Now() // carries the monotonic clock, which no step moves
+		var leased []lease
+		s.hub.read(func(st *State) {
+			st.Leased(func(uid string, changed int64, term time.Duration) {
+				leased = append(leased, lease{uid, changed, term})
+			})
+		})
+		expired, held := s.leases.due(leased, s.o.Load().HoldShare, now)
+		if held > 0 {
+			s.log.Warn("registry: too many leases ended together; their entries stay listed", "entries", held, "of", len(leased))
+		}
+		if len(expired) == 0 {
+			continue
+		}
+		s.log.Info("registry: leases ended", "entries", len(expired))
+		if _, err := s.replica.Apply(&Command{Op: OpExpire, Expired: expired}, applyWait); err != nil {
+			s.log.Warn("registry: ended leases are not told", "error", err)
+		}
+	}
+}
+
+// figures are what /stats shows.
+type figures struct {
+	registry            *prometheus.Registry
+	turned, slow, bytes prometheus.Counter
+}
+
+func newFigures(s *Server) *figures {
+	f := &figures{
+		registry: prometheus.NewRegistry(),
+		turned:   prometheus.NewCounter(prometheus.CounterOpts{Name: "registry_readers_turned_away_total", Help: "Readers told to come later."}),
+		slow:     prometheus.NewCounter(prometheus.CounterOpts{Name: "registry_watchers_ended_total", Help: "Watchers ended for being slow."}),
+		bytes:    prometheus.NewCounter(prometheus.CounterOpts{Name: "registry_watch_bytes_total", Help: "Bytes of lines written to watchers."}),
+	}
+	gauge := func(name, help string, of func(Status) float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return of(s.Status()) })
+	}
+	f.registry.MustRegister(f.turned, f.slow, f.bytes,
+		gauge("registry_revision", "Revision of the last change.", func(x Status) float64 { return float64(x.Rev) }),
+		gauge("registry_entries", "Entries in the list.", func(x Status) float64 { return float64(x.Entries) }),
+		gauge("registry_entries_held", "Entries kept although their leases have ended.", func(x Status) float64 { return float64(x.Held) }),
+		gauge("registry_watches", "Watches that are open.", func(x Status) float64 { return float64(x.Watches) }),
+		gauge("registry_heard_seconds", "Time since this copy heard from its leader.", func(x Status) float64 { return float64(x.HeardMS) / 1000 }),
+		gauge("registry_leads", "1 at the copy that leads.", func(x Status) float64 {
+			if x.Leads {
+				return 1
+			}
+			return 0
+		}))
+	return f
+}
+
+// bucket admits at a rate, with a burst.
+type bucket struct {
+	mu    sync.Mutex
+	level float64
+	last  time.Time
+}
+
+// take takes a place, or says how long to wait. Those who are told to wait are spread: each is told a later time
+// than the one before.
+func (b *bucket) take(now time.Time, rate, most float64) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.last.IsZero() {
+		b.level = min(b.level+rate*now.Sub(b.last).Seconds(), most)
+	}
+	b.last = now
+	b.level--
+	if b.level >= 0 {
+		return 0
+	}
+	wait := time.Duration(-b.level / rate * float64(time.Second))
+	if wait > mostWait {
+		b.level++ // no place is kept for one who is told the longest wait
+		return mostWait
+	}
+	return wait
+}
+
+// mostWait is the longest time that a reader is told to wait.
+const mostWait = 10 * time.Second
