Serve and ask the list service from the command line

Tested with a real process: killed with SIGKILL it has what was written, SIGHUP with a bad file does not end it, SIGTERM ends it in order (TestRegistryCommands, one copy). No change to the sidecar.

--- a/cmd/marblelane/main.go
+++ b/cmd/marblelane/main.go
@@ -1,4 +1,4 @@
-// Command marblelane is what operators and developers run beside the sidecar: so far the lab.
+// Command marblelane is what operators and developers run beside the sidecar: the list service and the lab.
 package main
 
 import (
@@ -32,7 +32,8 @@
 	LogFormat string `help:"Form of the log on standard error: ${enum}." enum:"text,json" default:"text"`
 	LogLevel  string `help:"Least level that is logged: ${enum}." enum:"debug,info,warn,error" default:"warn"`
 
-	Lab labCmd `cmd:"" help:"Run copies of the sidecar between stand-ins, with faults between them, and measure."`
+	Lab      labCmd      `cmd:"" help:"Run copies of the sidecar between stand-ins, with faults between them, and measure."`
+	Registry registryCmd `cmd:"" help:"The list service that sidecars follow: serve a copy of it, or ask one."`
 }
 
 // app is what commands are given.
--- /dev/null
+++ b/cmd/marblelane/registry_test.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// serve starts a real copy with a configuration and gives where it serves.
+func serve(t *testing.T, config string) (string, *exec.Cmd) {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(programs, "marblelane"), "registry", "serve", "--config", config)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+	})
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		if _, rest, ok := strings.Cut(lines.Text(), " listen="); ok {
+			addr, _, _ := strings.Cut(rest, " ")
+			return addr, cmd
+		}
+	}
+	t.Fatal("it did not start")
+	return "", nil
+}
+
+func TestRegistryCommands(t *testing.T) {
+	dir := t.TempDir()
+	l, err := net.Listen("tcp", "127.0.0.1:0") // raft has to come back at the same address
+	if err != nil {
+		t.Fatal(err)
+	}
+	raft := l.Addr().String()
+	l.Close()
+	config := filepath.Join(dir, "one.toml")
+	text := fmt.Sprintf("name = \"one\"\nlisten = \"127.0.0.1:0\"\nraft = %q\ndir = %q\nbeat = \"50ms\"\n", raft, filepath.Join(dir, "data"))
+	if err := os.WriteFile(config, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	addr, cmd := serve(t, config)
+	do := func(want int, part string, args ...string) string {
+		t.Helper()
+		var out, said bytes.Buffer
+		code := run(t.Context(), append([]string{"registry"}, args...), &out, &said)
+		if code != want || !strings.Contains(out.String()+said.String(), part) {
+			t.Errorf("%v ends with %d\nout: %s\nerr: %s", args, code, out.String(), said.String())
+		}
+		return out.String()
+	}
+	for led := false; !led; { // its election takes a moment
+		var out, said bytes.Buffer
+		run(t.Context(), []string{"registry", "status", "--addr", addr}, &out, &said)
+		led = strings.Contains(out.String(), `"leads": true`) && !strings.Contains(out.String(), `"rev": 0`)
+	}
+	do(0, `"rev"`, "put", "s-1", "127.0.0.1:81", "--zone", "a", "--addr", addr, "--if", "0")
+	do(2, "changed meanwhile", "put", "s-1", "127.0.0.1:82", "--addr", addr, "--if", "0")
+	do(0, `"endpoint":"127.0.0.1:81"`, "list", "--addr", addr)
+	do(0, `"rev"`, "drain", "s-1", "--addr", addr)
+	do(2, "no such entry", "drain", "s-2", "--addr", addr)
+	do(0, `"state":"Terminating"`, "list", "--addr", addr)
+	backup := filepath.Join(dir, "backup.json")
+	do(0, "bytes in", "snapshot", backup, "--addr", addr)
+	do(2, "is there already", "snapshot", backup, "--addr", addr)
+	if data, err := os.ReadFile(backup); err != nil || !bytes.Contains(data, []byte("s-1")) {
+		t.Errorf("the backup is %s, %v", data, err)
+	}
+	// Killed and started again it has what was written.
+	if err := cmd.Process.Signal(syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	_ = cmd.Wait()
+	addr, cmd = serve(t, config)
+	for back := false; !back; {
+		var out, said bytes.Buffer
+		run(t.Context(), []string{"registry", "list", "--addr", addr}, &out, &said)
+		back = strings.Contains(out.String(), `"uid":"s-1"`)
+	}
+	// SIGHUP never ends it, with a good file or a bad one.
+	if err := os.WriteFile(config, []byte(text+"nonsense = 1\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	do(0, `"uid":"s-1"`, "list", "--addr", addr)
+	do(0, "", "remove", "s-1", "--addr", addr)
+	do(2, "connection refused", "list", "--addr", raft[:strings.LastIndexByte(raft, ':')]+":1")
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("at SIGTERM it ended with %v", err)
+	}
+}
+
+func TestRegistryConfiguration(t *testing.T) {
+	good := "name = \"a\"\nlisten = \"127.0.0.1:0\"\nraft = \"127.0.0.1:0\"\n"
+	for name, c := range map[string]struct{ text, says string }{
+		"unknown key":  {good + "bat = 1\n", "c.toml:4: bat: there is no such key"},
+		"no unit":      {good + "beat = \"5\"\n", "c.toml:4: beat:"},
+		"no name":      {"listen = \"127.0.0.1:0\"\nraft = \"127.0.0.1:0\"\n", "name: is missing"},
+		"not a peer":   {good + "[[peer]]\nname = \"b\"\nraft = \"x:1\"\nserve = \"x:2\"\n", `"a", is not among them`},
+		"share":        {good + "hold_share = 2.0\n", "hold_share: is not between 0 and 1"},
+		"join and all": {good + "join = true\n[[peer]]\nname = \"a\"\nraft = \"x:1\"\nserve = \"x:2\"\n", "join:"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "c.toml")
+			if err := os.WriteFile(path, []byte(c.text), 0o644); err != nil {
+				t.Fatal(err)
+			}
+			var out, said bytes.Buffer
+			if code := run(t.Context(), []string{"registry", "serve", "--config", path}, &out, &said); code != exitUse || !strings.Contains(said.String(), c.says) {
+				t.Errorf("it ends with %d: %s", code, said.String())
+			}
+		})
+	}
+}
