Read single entries as of now, and let raft's callers be told apart

A writer that changes what it has read needs a read that is not of the past; the list that every copy serves may lag. GET of one entry is answered by the leader alone, after it has applied all that its predecessors acknowledged and a majority has confirmed that it leads. Raft calls from the address it listens at, and the relay tells callers that share one address for a party apart by where they call from, so that links between copies of a cluster can be cut one way.

--- a/internal/lab/relay/forward.go
+++ b/internal/lab/relay/forward.go
@@ -15,7 +15,17 @@
 // Forward opens a port that passes connections on to a program elsewhere: the way to put faults before a party
 // that is no stand-in. While a link is cut, nobody is dialled.
 func Forward(links func(caller int) *Link, target func() string) (*Port, error) {
-	return Listen(links, func(c *Conn) {
+	return open(&Port{links: links, serve: forward(target)})
+}
+
+// ForwardBySource does so for callers that all know the party by one address, as the copies of a cluster do: each is
+// told apart by the address it calls from, [SourceAddr] of its number.
+func ForwardBySource(links func(caller int) *Link, target func() string) (*Port, error) {
+	return open(&Port{links: links, serve: forward(target), bySource: true})
+}
+
+func forward(target func() string) func(*Conn) {
+	return func(c *Conn) {
 		if c.pass(To) != nil {
 			return
 		}
@@ -44,7 +54,7 @@
 			far.Close()
 		}
 		back.Wait()
-	})
+	}
 }
 
 // Datagrams passes UDP packets on to one program, from any number of senders, who are told apart by the address
--- a/internal/lab/relay/listen.go
+++ b/internal/lab/relay/listen.go
@@ -36,12 +36,15 @@
 // maxCallers bounds the callers of one party, by the filter's length (two instructions a caller).
 const maxCallers = 1900
 
+// SourceAddr is the loopback address from which caller n of a port opened by ForwardBySource has to call.
+func SourceAddr(n int) string { return callerAddr(n).String() }
+
 // callerAddr is the loopback address at which caller n reaches whatever listens for it.
 func callerAddr(n int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, byte(firstNet + n>>16), byte(n >> 8), byte(n)})
 }
 
-// Caller tells which caller an address was given to.
+// caller tells which caller an address was given to.
 func caller(a netip.Addr) (int, bool) {
 	b := a.Unmap().As4()
 	if b[0] != 127 || b[1] < firstNet {
@@ -52,7 +55,8 @@
 
 // Port is where one party is called, by all callers.
 type Port struct {
-	links func(caller int) *Link
+	links    func(caller int) *Link
+	bySource bool // callers are told apart by where they call from, in place of where they call
 
 	mu     sync.Mutex
 	port   int
@@ -67,7 +71,11 @@
 // Listen opens a port for a party; links gives each caller's link to it. Each connection is handed to serve in a
 // goroutine of its own and closed after it.
 func Listen(links func(caller int) *Link, serve func(*Conn)) (*Port, error) {
-	p := &Port{links: links, serve: serve, conns: map[*Conn]struct{}{}}
+	return open(&Port{links: links, serve: serve})
+}
+
+func open(p *Port) (*Port, error) {
+	p.conns = map[*Conn]struct{}{}
 	if err := p.Open(); err != nil {
 		return nil, err
 	}
@@ -182,7 +190,11 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		n, ok := caller(raw.LocalAddr().(*net.TCPAddr).AddrPort().Addr())
+		called := raw.LocalAddr()
+		if p.bySource {
+			called = raw.RemoteAddr()
+		}
+		n, ok := caller(called.(*net.TCPAddr).AddrPort().Addr())
 		if !ok || !raw.RemoteAddr().(*net.TCPAddr).IP.IsLoopback() {
 			raw.Close()
 			continue
@@ -258,7 +270,11 @@
 			failed = detach(int(fd))
 			return
 		}
-		prog := dropTo(p.cut)
+		offset := uint32(destinationOffset)
+		if p.bySource {
+			offset = sourceOffset
+		}
+		prog := drop(p.cut, offset)
 		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
 			&unix.SockFprog{Len: uint16(len(prog)), Filter: &prog[0]})
 	})
@@ -271,10 +287,15 @@
 // networkHeader is SKF_NET_OFF (-0x100000) of linux/filter.h: offsets from it count from the IP header.
 const networkHeader = 0xfff00000
 
-// dropTo is a program that drops each packet whose destination is the address of one of the callers.
-func dropTo(callers []int) []unix.SockFilter {
-	const destination = 16 // its offset in the IPv4 header
-	prog := []unix.SockFilter{{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: networkHeader + destination}}
+// Where the addresses stand in the IPv4 header.
+const (
+	sourceOffset      = 12
+	destinationOffset = 16
+)
+
+// drop is a program that drops each packet whose address at the offset is that of one of the callers.
+func drop(callers []int, offset uint32) []unix.SockFilter {
+	prog := []unix.SockFilter{{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: networkHeader + offset}}
 	for _, n := range callers {
 		b := callerAddr(n).As4()
 		addr := uint32(b[0])<<24 | uint32(b[1])<<16 | uint32(b[2])<<8 | uint32(b[3])
--- a/internal/registry/node.go
+++ b/internal/registry/node.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -50,6 +51,8 @@
 	listen net.Listener
 	close  []func() error
 	log    *slog.Logger
+	// settled is the last term in which this copy led and had applied all that was committed before it.
+	settled atomic.Uint64
 }
 
 // Open starts the copy's raft and binds its address; Run serves.
@@ -110,10 +113,12 @@
 		}
 		logs, stable, snaps = kept, kept, files
 	}
-	wire, err := raft.NewTCPTransportWithLogger(n.cfg.Raft, nil, 3, 2*time.Second, c.Logger)
+	layer, err := listenRaft(n.cfg.Raft, n.cfg.advertised())
 	if err != nil {
 		return fmt.Errorf("registry: raft at %s: %w", n.cfg.Raft, err)
 	}
+	wire := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
+		Stream: layer, MaxPool: 3, Timeout: 10 * n.cfg.Beat, Logger: c.Logger})
 	n.close = append(n.close, func() error {
 		wire.CloseStreams() // the other copies' ends of them end with it
 		return wire.Close()
@@ -143,6 +148,55 @@
 	return nil
 }
 
+// advertised is where the other copies reach this one: as the peers have it, or where it listens.
+func (c *Config) advertised() string {
+	for _, p := range c.Peers {
+		if p.Name == c.Name {
+			return p.Raft
+		}
+	}
+	return ""
+}
+
+// layer carries raft over TCP. It calls from the address it listens at, so that a firewall can tell the copies apart.
+type layer struct {
+	net.Listener
+	advertised net.Addr
+	from       *net.TCPAddr
+}
+
+func listenRaft(listen, advertised string) (*layer, error) {
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, err
+	}
+	out := &layer{Listener: l, advertised: l.Addr()}
+	at := l.Addr().(*net.TCPAddr)
+	if !at.IP.IsUnspecified() {
+		out.from = &net.TCPAddr{IP: at.IP}
+	} else if advertised == "" {
+		return nil, errors.Join(errors.New("other copies need an address, not one for all interfaces: name this copy among the peers"), l.Close())
+	}
+	if advertised != "" {
+		if out.advertised, err = net.ResolveTCPAddr("tcp", advertised); err != nil {
+			return nil, errors.Join(err, l.Close())
+		}
+	}
+	return out, nil
+}
+
+// Addr is where other copies reach this one.
+func (l *layer) Addr() net.Addr { return l.advertised }
+
+// Dial calls another copy.
+func (l *layer) Dial(address raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: timeout}
+	if l.from != nil {
+		d.LocalAddr = l.from
+	}
+	return d.Dial("tcp", string(address))
+}
+
 // Addr is where readers and writers come.
 func (n *Node) Addr() string { return n.listen.Addr().String() }
 
@@ -204,9 +258,13 @@
 		}
 		n.log.Info("registry: leads", "name", n.cfg.Name)
 		// All that was committed before has to be applied first: whether there is a history shows only then.
+		term := n.raft.CurrentTerm()
 		if err := n.raft.Barrier(applyWait).Error(); err != nil {
 			continue // it leads no more
 		}
+		if n.raft.CurrentTerm() == term {
+			n.settled.Store(term)
+		}
 		commands := []*Command{}
 		var rev int64
 		var members map[string]string
@@ -282,6 +340,18 @@
 	return time.Hour // never yet
 }
 
+// Confirm asks a majority whether this copy still leads.
+func (n *Node) Confirm() error {
+	// A new leader may not have applied yet what its predecessors acknowledged.
+	if n.settled.Load() != n.raft.CurrentTerm() {
+		return ErrNotLeader
+	}
+	if err := n.raft.VerifyLeader().Error(); err != nil {
+		return ErrNotLeader
+	}
+	return nil
+}
+
 // Add makes another copy a member of the cluster, a voter. It is the leader's to do.
 func (n *Node) Add(p Peer) error {
 	if err := n.raft.AddVoter(raft.ServerID(p.Name), raft.ServerAddress(p.Raft), 0, applyWait).Error(); err != nil {
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -32,6 +32,8 @@
 type Replica interface {
 	// Apply carries out a command once it is on a majority. A copy that is not the leader answers ErrNotLeader.
 	Apply(c *Command, wait time.Duration) (rev int64, err error)
+	// Confirm asks a majority whether this copy still leads; what it has applied is then the newest.
+	Confirm() error
 	// Leader tells whether this copy leads, and where the one that does serves; empty: nobody is known to.
 	Leader() (me bool, address string)
 	// Heard is how long ago this copy heard from its leader; 0 at the leader.
@@ -142,6 +144,7 @@
 func (s *Server) Handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+listPath, s.list)
+	m.HandleFunc("GET "+listPath+"/{uid}", s.get)
 	m.HandleFunc("POST "+listPath+"/{uid}", s.put)
 	m.HandleFunc("POST "+listPath+"/{uid}/renew", s.renew)
 	m.HandleFunc("POST "+listPath+"/{uid}/drain", func(w http.ResponseWriter, r *http.Request) { s.change(w, r, OpDrain) })
@@ -277,6 +280,31 @@
 	}
 }
 
+// get reads one entry as of now: only the leader answers, after a majority has said that it leads.
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	if !s.leading(w, r) {
+		return
+	}
+	if err := s.replica.Confirm(); err != nil {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	var e Entry
+	var changed int64
+	known := false
+	s.hub.read(func(st *State) { e, changed, _, known = st.Get(r.PathValue("uid")) })
+	if !known {
+		http.Error(w, ErrUnknown.Error(), http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(struct { // a caller that is gone needs nothing
+		Entry
+		Changed int64 `json:"changed"`
+	}{e, changed})
+}
+
 // registration is the body of a write: an entry in the platform's form, with its lease.
 type registration struct {
 	Entry
