Prove the list service under faults between its copies, with two planted defects

What the service promises has to hold with leaders killed, frozen and cut off. Scenarios with registry.copies run real copies behind relays, writers on drawn copies and watchers that come back anywhere; the writers' history has to be linearizable (porcupine; a call without an answer may have happened or not), all watchers have to have the same list at each revision and the leader's in the end.

--- a/cmd/marblelane/lab.go
+++ b/cmd/marblelane/lab.go
@@ -112,12 +112,19 @@
 	if err != nil {
 		return err
 	}
-	path, done, err := c.find(a)
-	if err != nil {
-		return err
+	o := lab.Options{Seed: c.Seed, Log: a.log}
+	if s.Registry.Copies > 0 {
+		if o.Self, err = os.Executable(); err != nil {
+			return fmt.Errorf("the list service's copies are of this program: %w", err)
+		}
+	} else {
+		path, done, err := c.find(a)
+		if err != nil {
+			return err
+		}
+		defer done()
+		o.Program = path
 	}
-	defer done()
-	o := lab.Options{Program: path, Seed: c.Seed, Log: a.log}
 	if !c.Quiet {
 		o.Progress = a.errOut
 		fmt.Fprintf(a.errOut, "playing %s: %s\n", s.Name, s.Title)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -42,6 +42,7 @@
 // Options are what a run needs beside its scenario.
 type Options struct {
 	Program  string // the sidecar's file, where the scenario names none
+	Self     string // the command's file, for copies of the list service
 	Seed     uint64 // 0: the scenario's
 	Dir      string // for the copies' files; empty: a temporary one that goes with the run
 	Progress io.Writer
@@ -64,6 +65,7 @@
 	Missed   []string           `json:"missed"` // expectations that were not met
 	Lateness Lateness           `json:"lateness"`
 	Events   int                `json:"events"`
+	Registry *RegistryResult    `json:"registry,omitempty"` // of a run of the list service
 }
 
 // Lateness is how well the lab kept its own times.
@@ -155,6 +157,9 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if s.Registry.Copies > 0 {
+		return r.playRegistry(ctx)
+	}
 	defer r.close(cancel)
 	if err := r.start(ctx); err != nil {
 		return nil, fmt.Errorf("lab: %w", err)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -22,15 +22,15 @@
 	"marblelane/lab/scenarios"
 )
 
-// silverreel is the real program, built once for all tests.
-var silverreel string
+// The real programs, built once for all tests.
+var silverreel, marblelane string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "lab-test-")
 	if err == nil {
-		silverreel = filepath.Join(dir, "silverreel")
+		silverreel, marblelane = filepath.Join(dir, "silverreel"), filepath.Join(dir, "marblelane")
 		var out []byte
-		if out, err = exec.Command("go", "build", "-o", silverreel, "marblelane/cmd/silverreel").CombinedOutput(); err != nil {
+		if out, err = exec.Command("go", "build", "-o", dir+"/", "marblelane/cmd/silverreel", "marblelane/cmd/marblelane").CombinedOutput(); err != nil {
 			err = fmt.Errorf("%w: %s", err, out)
 		}
 	}
@@ -79,7 +79,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
 		defer cancel()
 		var err error
-		if rep, err = Run(ctx, s, Options{Program: silverreel, Dir: t.TempDir()}); err != nil {
+		if rep, err = Run(ctx, s, Options{Program: silverreel, Self: marblelane, Dir: t.TempDir()}); err != nil {
 			t.Fatal(err)
 		}
 		if end, _ := rep.Outcome(); end != Late {
@@ -137,6 +137,7 @@
 func TestRulesHoldUnderFaults(t *testing.T) {
 	for name, harms := range map[string]bool{
 		"cut-requests": true, "cut-answers": true, "freeze": true, "herd": true, "roll": false, "upgrade": false,
+		"registry-leader-killed": false, "registry-leader-frozen": false, "registry-cut": false, "registry-majority-lost": false,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -151,6 +152,12 @@
 			if harms && rep.Result.Figures.InAim == 1 {
 				t.Error("nobody was harmed: the fault did not take place")
 			}
+			if o := rep.Registry; o != nil {
+				if len(o.Gaps) == 0 || o.Writes == 0 || o.ReadsLost > 0 {
+					t.Errorf("no fault, no write, or lost reads: %+v", o)
+				}
+				return
+			}
 			if rep.Verdict.Checked["unsafe-once"] == 0 || rep.Verdict.Checked["one-answer"] == 0 {
 				t.Errorf("rules were held to nothing: %v", rep.Verdict.Checked)
 			}
--- /dev/null
+++ b/internal/lab/linear.go
@@ -0,0 +1,126 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// The calls of a writer on one entry, for the check that their history is linearizable.
+
+type opKind uint8
+
+const (
+	opGet opKind = iota
+	opPut
+	opRemove
+)
+
+type outcome uint8
+
+const (
+	outcomeNone     outcome = iota // it certainly did not happen
+	outcomeOK                      // it was answered
+	outcomeConflict                // its condition did not hold
+	outcomeUnknown                 // it may have happened, or may yet
+)
+
+// operation is one call and what came of it.
+type operation struct {
+	key        string
+	client     int
+	kind       opKind
+	value      int64 // that a put writes; no two write the same
+	condition  int64 // revision of the entry's last change; 0: there is none; -1: in any case
+	outcome    outcome
+	gotRev     int64
+	gotValue   int64
+	call, back time.Duration
+}
+
+// held is one entry as the model has it.
+type held struct {
+	value int64 // 0: there is none
+	rev   int64 // of its last change; anyRev: of a write whose answer nobody saw
+}
+
+const anyRev = -1
+
+// model is one entry that is put, removed and read. A write without an answer may have happened or not, at any time
+// until the end.
+func model() porcupine.Model {
+	m := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{held{}} },
+		Step: func(state, input, output any) []any {
+			s, op := state.(held), input.(operation)
+			mayHold := op.condition < 0 || s.rev == anyRev || s.rev == op.condition
+			mayFail := op.condition >= 0 && (s.rev == anyRev || s.rev != op.condition)
+			after := held{}
+			if op.kind == opPut {
+				after = held{op.value, anyRev}
+			}
+			switch op.outcome {
+			case outcomeConflict:
+				if mayFail {
+					return []any{s}
+				}
+				return nil
+			case outcomeUnknown:
+				if op.kind == opGet {
+					return []any{s}
+				}
+				if mayHold {
+					return []any{s, after}
+				}
+				return []any{s}
+			}
+			if op.kind == opGet {
+				if s.value != op.gotValue || s.rev != anyRev && s.rev != op.gotRev {
+					return nil
+				}
+				return []any{held{op.gotValue, op.gotRev}}
+			}
+			if op.kind == opRemove {
+				// One that finds nothing is answered too, whatever its condition.
+				if s.value == 0 || mayHold {
+					return []any{held{}}
+				}
+				return nil
+			}
+			if !mayHold || s.rev != anyRev && op.gotRev <= s.rev {
+				return nil
+			}
+			return []any{held{op.value, op.gotRev}}
+		},
+	}
+	return m.ToModel()
+}
+
+// checkWait bounds the check of one entry's history.
+const checkWait = 20 * time.Second
+
+// notLinearizable names an entry whose history no order of single steps explains; empty: there is none.
+func notLinearizable(ops []operation) string {
+	byKey := map[string][]porcupine.Operation{}
+	for _, op := range ops {
+		if op.outcome == outcomeNone {
+			continue
+		}
+		end := int64(op.back)
+		if op.outcome == outcomeUnknown {
+			end = math.MaxInt64
+		}
+		byKey[op.key] = append(byKey[op.key], porcupine.Operation{ClientId: op.client, Input: op, Call: int64(op.call), Return: end})
+	}
+	for key, history := range byKey {
+		switch porcupine.CheckOperationsTimeout(model(), history, checkWait) {
+		case porcupine.Illegal:
+			return fmt.Sprintf("no order of single steps explains the %d calls on entry %s", len(history), key)
+		case porcupine.Unknown:
+			return fmt.Sprintf("the %d calls on entry %s could not be checked within %v", len(history), key, checkWait)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/lab/registry.go
@@ -0,0 +1,848 @@
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"marblelane/internal/lab/copies"
+	"marblelane/internal/lab/invariant"
+	"marblelane/internal/lab/measure"
+	"marblelane/internal/lab/record"
+	"marblelane/internal/lab/relay"
+	"marblelane/internal/lab/scenario"
+	"marblelane/internal/registry"
+)
+
+// A run of the list service: real copies that reach each other through relays, writers that go on through all faults
+// and watchers that come back wherever they can. After the run the writers' history has to be linearizable, and all
+// watchers have to have seen the same list at each revision and hold the leader's in the end.
+
+// RegistryResult is what a run of the list service shows. Times are in milliseconds.
+type RegistryResult struct {
+	Copies    int             `json:"copies"`
+	Watchers  int             `json:"watchers"`
+	Writes    int             `json:"writes"`    // acknowledged
+	Conflicts int             `json:"conflicts"` // refused on their condition
+	Refused   int             `json:"refused"`   // certainly not done: nobody led
+	Unknown   int             `json:"unknown"`   // no answer: done or not
+	Gets      int             `json:"gets"`
+	Reads     int             `json:"reads"`      // whole lists, of any copy
+	ReadsLost int             `json:"reads_lost"` // no copy answered
+	Lines     int64           `json:"lines"`      // that watchers took
+	Rejoins   int64           `json:"rejoins"`    // watches that ended and began again
+	TellP50   float64         `json:"tell_p50_ms"`
+	TellP99   float64         `json:"tell_p99_ms"` // from a write's call until the last watcher is told
+	TellMax   float64         `json:"tell_max_ms"`
+	Gaps      []float64       `json:"gaps_ms"` // after each fault: until a write called since is acknowledged
+	Parties   []measure.Party `json:"parties"`
+}
+
+// registryRun is such a run under way.
+type registryRun struct {
+	*run
+	reg    *scenario.Registry
+	copies []*registryCopy
+	links  [][]*relay.Link // by caller and called copy
+
+	ending   atomic.Bool
+	skipping atomic.Bool // planted: watchers lose lines
+	lying    atomic.Bool // planted: reads are answered with what was once true
+	mu       sync.Mutex
+	ops      []operation
+	acks     []ack
+	marks    []time.Duration // of faults that begin
+	reads    int
+	lost     int
+	seen     map[int64]uint64 // the hash of the list at each revision, as some watcher had it
+	breaches []invariant.Breach
+	counts   map[string]int
+	lines    atomic.Int64
+	rejoins  atomic.Int64
+	value    atomic.Int64
+}
+
+// ack is a write that was acknowledged.
+type ack struct {
+	rev          int64
+	called, done time.Duration
+}
+
+// registryCopy is one copy of the service.
+type registryCopy struct {
+	number      int
+	name, serve string
+	raft        string // where it listens; others go through the relay
+	port        *relay.Port
+	spec        copies.Spec
+
+	mu   sync.Mutex
+	proc *copies.Copy
+	past float64
+}
+
+func (c *registryCopy) process() *copies.Copy {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.proc
+}
+
+// playRegistry runs a scenario that has copies of the list service.
+func (r *run) playRegistry(ctx context.Context) (*Report, error) {
+	rr := &registryRun{run: r, reg: &r.s.Registry, seen: map[int64]uint64{}, counts: map[string]int{}}
+	r.nursery = copies.NewNursery()
+	r.log = record.New()
+	defer rr.stop()
+	if err := rr.startCopies(ctx); err != nil {
+		return nil, fmt.Errorf("lab: %w", err)
+	}
+	return rr.play(ctx)
+}
+
+func (rr *registryRun) startCopies(ctx context.Context) error {
+	program := rr.reg.Program
+	if program == "" {
+		program = rr.o.Self
+	}
+	n := rr.reg.Copies
+	for i := range n {
+		var row []*relay.Link
+		for j := range n {
+			row = append(row, relay.NewLink(relay.Rules{}, rr.plan.Seed^uint64(i*n+j)))
+		}
+		rr.links = append(rr.links, row)
+		c := &registryCopy{number: i, name: fmt.Sprint("r", i)}
+		var err error
+		if c.serve, err = freeOn(relay.SourceAddr(i)); err != nil {
+			return err
+		}
+		if c.raft, err = freeOn(relay.SourceAddr(i)); err != nil {
+			return err
+		}
+		rr.copies = append(rr.copies, c)
+	}
+	var peers strings.Builder
+	for j, c := range rr.copies {
+		var err error
+		c.port, err = relay.ForwardBySource(func(from int) *relay.Link {
+			if from >= n {
+				return nil
+			}
+			return rr.links[from][j]
+		}, func() string { return c.raft })
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(&peers, "[[peer]]\nname = %q\nraft = %q\nserve = %q\n", c.name, c.port.Addr(0), c.serve)
+	}
+	for _, c := range rr.copies {
+		dir := filepath.Join(rr.dir, c.name)
+		if err := os.MkdirAll(dir, 0o755); err != nil {
+			return err
+		}
+		config := filepath.Join(dir, "registry.toml")
+		text := fmt.Sprintf("name = %q\nlisten = %q\nraft = %q\ndir = %q\nbeat = %q\n%s", c.name, c.serve, c.raft,
+			filepath.Join(dir, "data"), rr.reg.Beat.Of(), peers.String())
+		if err := os.WriteFile(config, []byte(text), 0o644); err != nil {
+			return err
+		}
+		c.spec = copies.Spec{Name: c.name, Path: program, Dir: dir, Env: os.Environ(),
+			Args: []string{"--log-level", "info", "registry", "serve", "--config", config}}
+	}
+	start, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	for _, c := range rr.copies {
+		if err := rr.launch(start, c); err != nil {
+			return err
+		}
+	}
+	for rr.leader(start) == nil {
+		if start.Err() != nil {
+			return errors.New("the list service has no leader")
+		}
+	}
+	return nil
+}
+
+// freeOn finds a free port on a loopback address.
+func freeOn(host string) (string, error) {
+	l, err := net.Listen("tcp4", host+":0")
+	if err != nil {
+		return "", fmt.Errorf("lab: no address: %w", err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (rr *registryRun) launch(ctx context.Context, c *registryCopy) error {
+	p, err := rr.nursery.Start(c.spec)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.proc = p
+	c.mu.Unlock()
+	_, err = p.Await(ctx, "ready name=")
+	return err
+}
+
+func (rr *registryRun) stop() {
+	for _, c := range rr.copies {
+		if p := c.process(); p != nil {
+			p.Kill()
+		}
+	}
+	rr.nursery.Close()
+	for _, c := range rr.copies {
+		if c.port != nil {
+			c.port.Close()
+		}
+	}
+}
+
+// quick asks a copy something that it answers at once or not at all.
+func quick(ctx context.Context, method, url string, body []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	t := &http.Transport{DisableKeepAlives: true}
+	resp, err := (&http.Client{Transport: t}).Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, text, err
+}
+
+// leader finds the copy that leads and has begun a history.
+func (rr *registryRun) leader(ctx context.Context) *registryCopy {
+	var best *registryCopy
+	for _, c := range rr.copies {
+		var st registry.Status
+		code, text, err := quick(ctx, "GET", "http://"+c.serve+"/registry/status", nil)
+		if err == nil && code == 200 && json.Unmarshal(text, &st) == nil && st.Leads && st.Rev > 0 {
+			best = c
+		}
+	}
+	return best
+}
+
+// play lets writers, watchers and faults go on for the run's length, then heals all and compares.
+func (rr *registryRun) play(ctx context.Context) (*Report, error) {
+	began := rr.log.Now()
+	playing, done := context.WithTimeout(ctx, rr.s.Length.Of())
+	defer done()
+	watching, unwatch := context.WithCancel(ctx)
+	defer unwatch()
+	watchers := make([]*lister, rr.reg.Watchers)
+	var watch, write sync.WaitGroup
+	for i := range watchers {
+		watchers[i] = &lister{rr: rr, rng: rand.New(rand.NewPCG(rr.plan.Seed, uint64(i)+1<<32)), list: map[string]registry.Entry{}}
+		watch.Go(func() { watchers[i].follow(watching) })
+	}
+	var lag []time.Duration
+	rr.wg.Go(func() { lag = heartbeat(playing) })
+	for i := range rr.reg.Writers {
+		write.Go(func() { rr.writer(playing, i) })
+	}
+	write.Go(func() { rr.reader(playing) })
+	rr.faults(playing, began)
+	if rr.o.Progress != nil {
+		rr.wg.Go(func() { rr.say(playing, began) })
+	}
+	<-playing.Done()
+	write.Wait()
+	rr.wg.Wait() // faults end with the run, and what they began is undone
+	if err := context.Cause(ctx); err != nil {
+		return nil, fmt.Errorf("lab: ended early: %w", err)
+	}
+	if rr.failed != nil {
+		return nil, fmt.Errorf("lab: %w", rr.failed)
+	}
+	if err := rr.heal(ctx); err != nil {
+		return nil, fmt.Errorf("lab: %w", err)
+	}
+	rr.settle(ctx, watchers)
+	unwatch()
+	watch.Wait()
+	return rr.result(ctx, watchers, began, lag), nil
+}
+
+func (rr *registryRun) say(ctx context.Context, began time.Duration) {
+	t := time.NewTicker(2 * time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			rr.mu.Lock()
+			n := len(rr.acks)
+			rr.mu.Unlock()
+			fmt.Fprintf(rr.o.Progress, "%5.1f of %.0f s, %d writes acknowledged, %d lines told\n",
+				(rr.log.Now() - began).Seconds(), rr.s.Length.Of().Seconds(), n, rr.lines.Load())
+		}
+	}
+}
+
+// writer writes and reads single entries through copies drawn at random, as fast as its pause lets it.
+func (rr *registryRun) writer(ctx context.Context, number int) {
+	rng := rand.New(rand.NewPCG(rr.plan.Seed, uint64(number)+1))
+	known := map[string]int64{} // the last revision of each entry that it has seen
+	old := map[string]operation{}
+	for ctx.Err() == nil {
+		key := fmt.Sprint("s-", rng.IntN(rr.reg.Entries))
+		op := operation{key: key, client: number, kind: opPut, condition: -1}
+		switch x := rng.Float64(); {
+		case x < 0.3:
+			op.kind = opGet
+		case x < 0.4:
+			op.kind = opRemove
+		}
+		if op.kind != opGet && rng.Float64() < 0.5 {
+			op.condition = known[key]
+		}
+		if op.kind == opPut {
+			op.value = rr.value.Add(1)
+		}
+		c := rr.copies[rng.IntN(len(rr.copies))]
+		op.call = rr.log.Now()
+		if was, ok := old[key]; ok && op.kind == opGet && rr.lying.Load() {
+			op.outcome, op.gotValue, op.gotRev = was.outcome, was.gotValue, was.gotRev
+		} else {
+			rr.carryOut(&op, c)
+		}
+		op.back = rr.log.Now()
+		if op.outcome == outcomeOK {
+			known[key] = op.gotRev
+			if op.kind == opGet {
+				if _, ok := old[key]; !ok {
+					old[key] = op
+				}
+			}
+		}
+		rr.mu.Lock()
+		rr.ops = append(rr.ops, op)
+		if op.outcome == outcomeOK && op.kind == opPut {
+			rr.acks = append(rr.acks, ack{op.gotRev, op.call, op.back})
+		}
+		rr.mu.Unlock()
+		select {
+		case <-time.After(rr.reg.Pause.Of()):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// callWait is how long a writer waits for an answer.
+const callWait = 3 * time.Second
+
+// carryOut does one call and reads what has come of it. A call that is under way when the run ends is finished.
+func (rr *registryRun) carryOut(op *operation, c *registryCopy) {
+	url := "http://" + c.serve + "/registry/instances/" + op.key
+	method, body := http.MethodGet, []byte(nil)
+	switch op.kind {
+	case opPut:
+		method = http.MethodPost
+		body = fmt.Appendf(nil, `{"endpoint":"127.0.0.1:1","az":"a","boot_ms":%d}`, op.value)
+	case opRemove:
+		method = http.MethodDelete
+	}
+	if op.condition >= 0 {
+		url += "?if=" + strconv.FormatInt(op.condition, 10)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callWait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		op.outcome = outcomeNone
+		return
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		op.outcome = outcomeUnknown
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			op.outcome = outcomeNone // who redirects has done nothing, and nobody else was reached
+		}
+		return
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	var got struct {
+		Rev     int64 `json:"rev"`
+		Changed int64 `json:"changed"`
+		BootMS  int64 `json:"boot_ms"`
+	}
+	switch {
+	case err != nil:
+		op.outcome = outcomeUnknown
+	case resp.StatusCode == http.StatusOK && json.Unmarshal(text, &got) == nil:
+		op.outcome, op.gotRev = outcomeOK, max(got.Rev, got.Changed)
+		op.gotValue = got.BootMS
+	case resp.StatusCode == http.StatusNotFound && op.kind == opGet:
+		op.outcome = outcomeOK // there is none
+	case resp.StatusCode == http.StatusConflict:
+		op.outcome = outcomeConflict
+	case bytes.Contains(text, []byte("is not known")): // whether it has happened
+		op.outcome = outcomeUnknown
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		op.outcome = outcomeNone
+	default:
+		op.outcome = outcomeUnknown
+	}
+}
+
+// reader asks for whole lists, of the next copy where one does not answer.
+func (rr *registryRun) reader(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(rr.plan.Seed, 1<<40))
+	for ctx.Err() == nil {
+		good := false
+		for _, i := range rng.Perm(len(rr.copies)) {
+			if code, _, err := quick(context.WithoutCancel(ctx), "GET", "http://"+rr.copies[i].serve+"/registry/instances", nil); err == nil && code == 200 {
+				good = true
+				break
+			}
+		}
+		rr.mu.Lock()
+		rr.reads++
+		if !good {
+			rr.lost++
+		}
+		rr.mu.Unlock()
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// lister is one watcher.
+type lister struct {
+	rr   *registryRun
+	rng  *rand.Rand
+	mu   sync.Mutex
+	list map[string]registry.Entry
+	rev  int64
+	told []ack // when it first had a revision
+}
+
+// silent is how long a watch may say nothing before its watcher goes elsewhere: an empty line comes every 2 s.
+const silent = 5 * time.Second
+
+// follow keeps a watch on some copy until ctx ends.
+func (w *lister) follow(ctx context.Context) {
+	for first := true; ctx.Err() == nil; first = false {
+		if !first {
+			w.rr.rejoins.Add(1)
+			select {
+			case <-time.After(time.Duration(20+w.rng.IntN(80)) * time.Millisecond):
+			case <-ctx.Done():
+				return
+			}
+		}
+		w.watch(ctx, w.rr.copies[w.rng.IntN(len(w.rr.copies))])
+	}
+}
+
+func (w *lister) watch(ctx context.Context, c *registryCopy) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	guard := time.AfterFunc(silent, cancel)
+	defer guard.Stop()
+	w.mu.Lock()
+	after := w.rev
+	w.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, "GET", fmt.Sprintf("http://%s/registry/instances?watch=1&after=%d", c.serve, after), nil)
+	if err != nil {
+		return
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return
+	}
+	for in := bufio.NewReader(resp.Body); ; {
+		line, err := in.ReadBytes('\n')
+		if err != nil {
+			return
+		}
+		guard.Reset(silent)
+		if line = bytes.TrimSpace(line); len(line) == 0 {
+			continue
+		}
+		var l registry.List
+		if err := json.Unmarshal(line, &l); err != nil {
+			w.rr.breach("watchers-agree", fmt.Sprintf("a line that cannot be read: %v", err))
+			return
+		}
+		w.rr.lines.Add(1)
+		w.take(&l)
+	}
+}
+
+// take applies a line and compares the list with what others had at this revision.
+func (w *lister) take(l *registry.List) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !l.All && l.Rev <= w.rev {
+		w.rr.breach("watchers-agree", fmt.Sprintf("after revision %d a change of revision %d was told", w.rev, l.Rev))
+	}
+	if !l.All && w.rr.skipping.Load() && w.rng.Float64() < 0.05 {
+		w.rev = l.Rev // planted: the line is lost, and its revision is not
+		return
+	}
+	if l.All {
+		clear(w.list)
+	}
+	for _, e := range l.Targets {
+		if e.State == registry.Gone {
+			delete(w.list, e.UID)
+		} else {
+			w.list[e.UID] = e
+		}
+	}
+	w.rev = l.Rev
+	w.told = append(w.told, ack{rev: l.Rev, done: w.rr.log.Now()})
+	w.rr.compare(l.Rev, hashOf(w.list))
+}
+
+func hashOf(list map[string]registry.Entry) uint64 {
+	all := make([]registry.Entry, 0, len(list))
+	for _, e := range list {
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b registry.Entry) int { return strings.Compare(a.UID, b.UID) })
+	return record.Sum(fmt.Append(nil, all))
+}
+
+// compare holds a list to what others had at the same revision.
+func (rr *registryRun) compare(rev int64, hash uint64) {
+	rr.mu.Lock()
+	was, ok := rr.seen[rev]
+	if !ok {
+		rr.seen[rev] = hash
+	}
+	rr.mu.Unlock()
+	if ok && was != hash {
+		rr.breach("watchers-agree", fmt.Sprintf("two watchers have different lists at revision %d", rev))
+	}
+}
+
+func (rr *registryRun) breach(rule, text string) {
+	rr.mu.Lock()
+	defer rr.mu.Unlock()
+	if rr.counts[rule]++; rr.counts[rule] <= 3 {
+		rr.breaches = append(rr.breaches, invariant.Breach{Rule: rule, At: rr.log.Now().Seconds(), Text: text})
+	}
+}
+
+// faults carries out the scenario's faults, each in its own time, and undoes them at the end of the run.
+func (rr *registryRun) faults(ctx context.Context, began time.Duration) {
+	for i := range rr.plan.Faults {
+		f := &rr.plan.Faults[i]
+		rr.wg.Go(func() {
+			if !sleep(ctx, began+f.At-rr.log.Now()) {
+				return
+			}
+			undo, err := rr.begin(ctx, f)
+			if err != nil {
+				rr.fail(fmt.Errorf("%s: %w", f.Fault.Kind, err))
+				return
+			}
+			rr.mu.Lock()
+			rr.marks = append(rr.marks, rr.log.Now())
+			rr.mu.Unlock()
+			rr.out.Info("lab: fault", "what", f.Fault.Kind, "copies", f.Fault.Copies)
+			sleep(ctx, f.Until-f.At)
+			if err := undo(); err != nil {
+				rr.fail(fmt.Errorf("%s ends: %w", f.Fault.Kind, err))
+			}
+		})
+	}
+}
+
+// begin starts a fault and gives what undoes it.
+func (rr *registryRun) begin(ctx context.Context, p *scenario.FaultPlan) (undo func() error, err error) {
+	switch p.Fault.Kind {
+	case "defect-stale-read":
+		rr.lying.Store(true)
+		return func() error { rr.lying.Store(false); return nil }, nil
+	case "defect-skipped-line":
+		rr.skipping.Store(true)
+		return func() error { rr.skipping.Store(false); return nil }, nil
+	}
+	chosen := rr.choose(ctx, p.Fault.Copies)
+	switch p.Fault.Kind {
+	case "copy-kill":
+		for _, c := range chosen {
+			p := c.process()
+			p.Kill()
+			c.mu.Lock()
+			c.past += p.CPU()
+			c.mu.Unlock()
+		}
+		return func() error {
+			start, cancel := context.WithTimeout(context.WithoutCancel(ctx), startWait)
+			defer cancel()
+			for _, c := range chosen {
+				if err := rr.launch(start, c); err != nil {
+					return err
+				}
+			}
+			return nil
+		}, nil
+	case "copy-freeze":
+		signal := func(s syscall.Signal) error {
+			for _, c := range chosen {
+				if err := c.process().Signal(s); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+		return func() error { return signal(syscall.SIGCONT) }, signal(syscall.SIGSTOP)
+	case "copy-cut":
+		return func() error { return rr.cutOff(chosen, p.Fault.Way, false) }, rr.cutOff(chosen, p.Fault.Way, true)
+	}
+	return nil, fmt.Errorf("no such fault of the list service")
+}
+
+// choose finds the copies that a fault means, at the moment it happens.
+func (rr *registryRun) choose(ctx context.Context, pick string) []*registryCopy {
+	lead := rr.leader(ctx)
+	var others []*registryCopy
+	for _, c := range rr.copies {
+		if c != lead {
+			others = append(others, c)
+		}
+	}
+	switch {
+	case pick == "all":
+		return rr.copies
+	case pick == "leader" && lead != nil:
+		return []*registryCopy{lead}
+	case pick == "majority":
+		return rr.copies[:len(rr.copies)/2+1]
+	case pick[0] == '#':
+		i, _ := strconv.Atoi(pick[1:])
+		return rr.copies[i : i+1]
+	}
+	return others[:1] // a follower; or whoever, if nobody leads at this moment
+}
+
+// cutOff cuts copies from the others: what comes to them ("to"), what goes out from them ("from"), or both.
+func (rr *registryRun) cutOff(chosen []*registryCopy, way string, on bool) error {
+	inside := func(n int) bool {
+		return slices.ContainsFunc(chosen, func(c *registryCopy) bool { return c.number == n })
+	}
+	for from := range rr.copies {
+		for to := range rr.copies {
+			if inside(from) == inside(to) {
+				continue
+			}
+			// A link carries calls one way and their answers the other; a cut of what comes to a copy silences the
+			// calls to it and the answers to its own calls.
+			cut := relay.Both
+			if way == "to" == inside(to) && way != "both" {
+				cut = relay.To
+			} else if way != "both" {
+				cut = relay.From
+			}
+			rr.links[from][to].Set(func(r *relay.Rules) {
+				if r.Cut &^= cut; on {
+					r.Cut |= cut
+				}
+			})
+			do := rr.copies[to].port.Heal
+			if rr.links[from][to].Rules().Cut != 0 {
+				do = rr.copies[to].port.Cut
+			}
+			if err := do(from); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// heal waits until the service can write again; the run is over and all faults are undone.
+func (rr *registryRun) heal(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	for {
+		op := operation{key: "last", kind: opPut, value: rr.value.Add(1), condition: -1, client: rr.reg.Writers}
+		if lead := rr.leader(ctx); lead != nil {
+			if rr.carryOut(&op, lead); op.outcome == outcomeOK {
+				return nil
+			}
+		}
+		if !sleep(ctx, 50*time.Millisecond) {
+			return errors.New("the list service does not write again although all faults are over")
+		}
+	}
+}
+
+// settleWait is how long the last watcher may take to hear the last change.
+const settleWait = 20 * time.Second
+
+// settle waits until all watchers have the leader's list.
+func (rr *registryRun) settle(ctx context.Context, watchers []*lister) {
+	ctx, cancel := context.WithTimeout(ctx, settleWait)
+	defer cancel()
+	for {
+		behind, wrong := 0, 0
+		var l registry.List
+		if lead := rr.leader(ctx); lead != nil {
+			if code, text, err := quick(ctx, "GET", "http://"+lead.serve+"/registry/instances", nil); err == nil && code == 200 {
+				_ = json.Unmarshal(text, &l) // an unreadable one has no revision, and all are behind
+			}
+		}
+		want := map[string]registry.Entry{}
+		for _, e := range l.Targets {
+			want[e.UID] = e
+		}
+		for _, w := range watchers {
+			w.mu.Lock()
+			if w.rev != l.Rev {
+				behind++
+			} else if hashOf(w.list) != hashOf(want) {
+				wrong++
+			}
+			w.mu.Unlock()
+		}
+		if wrong > 0 {
+			rr.breach("watchers-agree", fmt.Sprintf("%d of %d watchers have another list than the leader at revision %d", wrong, len(watchers), l.Rev))
+			return
+		}
+		if behind == 0 && l.Rev > 0 {
+			return
+		}
+		if !sleep(ctx, 50*time.Millisecond) {
+			rr.breach("watchers-agree", fmt.Sprintf("%d of %d watchers have not heard the last change after %v", behind, len(watchers), settleWait))
+			return
+		}
+	}
+}
+
+// result sums the run up.
+func (rr *registryRun) result(ctx context.Context, watchers []*lister, began time.Duration, lag []time.Duration) *Report {
+	out := &RegistryResult{Copies: len(rr.copies), Watchers: len(watchers), Reads: rr.reads, ReadsLost: rr.lost,
+		Lines: rr.lines.Load(), Rejoins: rr.rejoins.Load()}
+	for i := range rr.ops {
+		op := &rr.ops[i]
+		switch {
+		case op.outcome == outcomeConflict:
+			out.Conflicts++
+		case op.outcome == outcomeNone:
+			out.Refused++
+		case op.outcome == outcomeUnknown:
+			out.Unknown++
+		case op.kind == opGet:
+			out.Gets++
+		default:
+			out.Writes++
+		}
+	}
+	if text := notLinearizable(rr.ops); text != "" {
+		rr.breach("linearizable", text)
+	}
+	tell := tellTimes(rr.acks, watchers)
+	at := func(q float64) float64 {
+		if len(tell) == 0 {
+			return 0
+		}
+		return float64(tell[int(q*float64(len(tell)-1))]) / float64(time.Millisecond)
+	}
+	out.TellP50, out.TellP99, out.TellMax = at(0.5), at(0.99), at(1)
+	for _, m := range rr.marks {
+		first := time.Duration(-1)
+		for _, a := range rr.acks {
+			if a.called >= m && (first < 0 || a.done < first) {
+				first = a.done
+			}
+		}
+		if first >= 0 {
+			out.Gaps = append(out.Gaps, float64(first-m)/float64(time.Millisecond))
+		}
+	}
+	for _, c := range rr.copies {
+		p := measure.Party{Name: c.name, CPU: c.past}
+		if u, err := copies.Measure(c.process().PID); err == nil {
+			p.CPU += u.CPU
+			p.LastRSS, p.PeakRSS, p.Descriptors = float64(u.RSS)/(1<<20), float64(u.Peak)/(1<<20), u.Descriptors
+		}
+		out.Parties = append(out.Parties, p)
+	}
+	slices.Sort(lag)
+	rep := &Report{Scenario: rr.s.Name, Title: rr.s.Title, Seed: rr.plan.Seed, LengthS: rr.s.Length.Of().Seconds(),
+		Registry: out, Verdict: &invariant.Verdict{Counts: rr.counts, Breaches: rr.breaches,
+			Checked: map[string]int{"linearizable": len(rr.ops), "watchers-agree": int(out.Lines)}}}
+	if len(lag) > 0 {
+		rep.Lateness.LagMS = float64(lag[int(0.99*float64(len(lag)-1))]) / float64(time.Millisecond)
+		rep.Lateness.TooBig = rep.Lateness.LagMS > float64(lateP99)/float64(time.Millisecond)
+	}
+	return rep
+}
+
+// tellTimes is, for each write, the time from its call until the last watcher had its revision; sorted.
+func tellTimes(acks []ack, watchers []*lister) []time.Duration {
+	var out []time.Duration
+	for _, a := range acks {
+		last := time.Duration(0)
+		for _, w := range watchers {
+			// A watcher that went to a copy which lags may have gone back; what counts is when it first had it.
+			i := slices.IndexFunc(w.told, func(t ack) bool { return t.rev >= a.rev })
+			if i < 0 {
+				last = -1
+				break
+			}
+			last = max(last, w.told[i].done)
+		}
+		if last > 0 {
+			out = append(out, last-a.called)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// print writes the result as a table.
+func (o *RegistryResult) print(w io.Writer, r *Report) {
+	fmt.Fprintf(w, "%s (seed %d): %d copies of the list service, %d watchers, %.0f s\n\n", r.Scenario, r.Seed, o.Copies, o.Watchers, r.LengthS)
+	fmt.Fprintf(w, "writes    %d acknowledged, %d refused on their condition, %d refused as nobody led, %d without an answer; %d single reads\n",
+		o.Writes, o.Conflicts, o.Refused, o.Unknown, o.Gets)
+	fmt.Fprintf(w, "lists     %d read of any copy, %d times no copy answered\n", o.Reads, o.ReadsLost)
+	fmt.Fprintf(w, "watches   %d lines, begun again %d times; from a write's call to the last watcher p50 %.1f  p99 %.1f  max %.1f ms\n",
+		o.Lines, o.Rejoins, o.TellP50, o.TellP99, o.TellMax)
+	if len(o.Gaps) > 0 {
+		fmt.Fprintf(w, "without writes after each fault: %.0f ms\n", o.Gaps)
+	}
+	fmt.Fprintf(w, "\n%-8s %8s %9s %9s %12s\n", "copy", "CPU s", "RSS MB", "peak MB", "descriptors")
+	for _, p := range o.Parties {
+		fmt.Fprintf(w, "%-8s %8.2f %9.1f %9.1f %12d\n", p.Name, p.CPU, p.LastRSS, p.PeakRSS, p.Descriptors)
+	}
+	fmt.Fprintln(w)
+}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -17,6 +17,11 @@
 
 // Print writes the report as tables for a reader.
 func (r *Report) Print(w io.Writer) {
+	if r.Registry != nil {
+		r.Registry.print(w, r)
+		r.printRules(w)
+		return
+	}
 	f, res := &r.Result.Figures, r.Result
 	fmt.Fprintf(w, "%s (seed %d): %d sidecars, %d servers, %.0f requests/s for %.0f s\n",
 		r.Scenario, r.Seed, r.Sidecars, r.Servers, r.Rate, r.LengthS)
@@ -53,6 +58,11 @@
 		}
 		fmt.Fprintln(w)
 	}
+	r.printRules(w)
+}
+
+// printRules writes how many cases each rule was held to, and each breach.
+func (r *Report) printRules(w io.Writer) {
 	fmt.Fprintf(w, "rules:")
 	for _, rule := range sortedKeys(r.Verdict.Checked) {
 		fmt.Fprintf(w, " %s %d;", rule, r.Verdict.Checked[rule])
@@ -92,6 +102,9 @@
 	if err := os.WriteFile(filepath.Join(dir, "report.txt"), []byte(text.String()), 0o644); err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
+	if r.Registry != nil {
+		return nil
+	}
 	if err := r.plots(dir); err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
--- a/internal/lab/scenario/parse.go
+++ b/internal/lab/scenario/parse.go
@@ -38,7 +38,8 @@
 
 // RuleNames lists the rules that every run is held to.
 func RuleNames() []string {
-	return []string{"one-answer", "unsafe-once", "one-at-a-time", "most-attempts", "no-stray", "drain", "cold", "body", "limits"}
+	return []string{"one-answer", "unsafe-once", "one-at-a-time", "most-attempts", "no-stray", "drain", "cold", "body", "limits",
+		"linearizable", "watchers-agree"}
 }
 
 // Rule tells whether there is a rule of this name.
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -54,6 +54,7 @@
 	Traffic   Traffic   `toml:"traffic"`
 	Discovery Discovery `toml:"discovery"`
 	Rules     Rules     `toml:"rules"`
+	Registry  Registry  `toml:"registry"`
 	Classes   []Class   `toml:"class"`
 	Tenants   []Tenant  `toml:"tenant"`
 	Faults    []Fault   `toml:"fault"`
@@ -131,6 +132,17 @@
 	Spread       Duration `toml:"spread"`        // from the first sidecar to the last
 }
 
+// Registry is a run of the product's own list service in place of sidecars: copies of it, writers and watchers.
+type Registry struct {
+	Copies   int      `toml:"copies"` // 0: the run is one of sidecars
+	Writers  int      `toml:"writers"`
+	Watchers int      `toml:"watchers"`
+	Entries  int      `toml:"entries"` // that writers write on
+	Pause    Duration `toml:"pause"`   // of a writer between two calls
+	Beat     Duration `toml:"beat"`    // of the leader
+	Program  string   `toml:"program"` // the command's file; empty: the one that runs
+}
+
 // Rules are the figures of the rules, as the sidecars' settings state them.
 type Rules struct {
 	DrainGrace   Duration `toml:"drain_grace"`
@@ -169,7 +181,8 @@
 	At       Duration `toml:"at"`
 	For      Duration `toml:"for"` // 0: it happens once, or stays
 	Kind     string   `toml:"kind"`
-	Servers  string   `toml:"servers"`  // which, see [Pick]
+	Servers  string   `toml:"servers"`  // which: all, 3, 20%, #4, zone:name, pod:1, kind:name
+	Copies   string   `toml:"copies"`   // of the list service: leader, follower, majority, all, #1
 	Sidecars string   `toml:"sidecars"` // which
 	Size     float64  `toml:"size"`
 	Way      string   `toml:"way"`     // "to", "from", "both": of a cut
@@ -196,6 +209,7 @@
 // what each kind of fault wants.
 type faultForm struct {
 	servers, sidecars bool // it names some
+	copies            bool
 	lasts             bool // it needs a time to last
 	size              [2]float64
 	sized             bool
@@ -234,6 +248,12 @@
 		"list-move":       {},
 		"burst":           {lasts: true, sized: true, size: [2]float64{0, 100}},
 
+		"copy-kill":           {copies: true, lasts: true},
+		"copy-freeze":         {copies: true, lasts: true},
+		"copy-cut":            {copies: true, lasts: true},
+		"defect-stale-read":   {lasts: true},
+		"defect-skipped-line": {lasts: true},
+
 		"defect-send-twice":   {sidecars: true, lasts: true},
 		"defect-send-again":   {sidecars: true, lasts: true},
 		"defect-send-often":   {sidecars: true, lasts: true},
@@ -275,6 +295,13 @@
 	or(&s.Discovery.SilentNotice, Duration(6*time.Second))
 	or(&s.Discovery.Add, Duration(1500*time.Millisecond))
 	or(&s.Discovery.Spread, Duration(100*time.Millisecond))
+	if s.Registry.Copies > 0 {
+		or(&s.Registry.Writers, 4)
+		or(&s.Registry.Watchers, 10)
+		or(&s.Registry.Entries, 8)
+		or(&s.Registry.Pause, Duration(5*time.Millisecond))
+		or(&s.Registry.Beat, Duration(100*time.Millisecond))
+	}
 	or(&s.Rules.DrainGrace, Duration(2*time.Second))
 	or(&s.Rules.ColdFrom, 0.17)
 	or(&s.Rules.Cold, Duration(24*time.Second))
@@ -329,7 +356,10 @@
 		if form.sidecars {
 			or(&f.Sidecars, "all")
 		}
-		if f.Kind == "cut" {
+		if form.copies {
+			or(&f.Copies, "leader")
+		}
+		if f.Kind == "cut" || f.Kind == "copy-cut" {
 			or(&f.Way, "both")
 		}
 		or(&f.Link, "servers")
@@ -363,6 +393,9 @@
 		{"servers.max_conns", float64(s.Servers.MaxConns), 1, 1 << 20},
 		{"servers.handshake", float64(s.Servers.Handshake), 0, inf}, {"servers.idle", float64(s.Servers.Idle), 1e8, inf},
 		{"servers.fall_multiple", s.Servers.FallMultiple, 0, inf},
+		{"registry.copies", float64(s.Registry.Copies), 0, 9}, {"registry.writers", float64(s.Registry.Writers), 0, 100},
+		{"registry.watchers", float64(s.Registry.Watchers), 0, 10000}, {"registry.entries", float64(s.Registry.Entries), 0, 10000},
+		{"registry.pause", float64(s.Registry.Pause), 0, inf}, {"registry.beat", float64(s.Registry.Beat), 0, 1e10},
 		{"network.same", float64(s.Network.Same), 0, 1e10}, {"network.cross", float64(s.Network.Cross), 0, 1e10},
 		{"network.jitter", s.Network.Jitter, 0, 1},
 		{"traffic.load", s.Traffic.Load, 0, 100}, {"traffic.rate", s.Traffic.Rate, 0, 1e6},
@@ -478,9 +511,15 @@
 		return bad(key+".size", "is not between %g and %g", form.size[0], form.size[1])
 	case !form.sized && f.Size != 0:
 		return bad(key+".size", "is set, but a %s has none", f.Kind)
-	case f.Way != "" && f.Kind != "cut":
+	case form.copies != (f.Copies != ""):
+		return bad(key+".copies", "is set, but a %s concerns none", f.Kind)
+	case f.Copies != "" && s.checkCopies(f.Copies) != nil:
+		return bad(key+".copies", "%v", s.checkCopies(f.Copies))
+	case strings.HasPrefix(f.Kind, "copy-") != (s.Registry.Copies > 0) && !strings.HasPrefix(f.Kind, "defect-"):
+		return bad(key+".kind", "a %s is for runs of the other sort: with sidecars, or with registry.copies", f.Kind)
+	case f.Way != "" && f.Kind != "cut" && f.Kind != "copy-cut":
 		return bad(key+".way", "is set, but only a cut has one")
-	case f.Kind == "cut" && f.Way != "to" && f.Way != "from" && f.Way != "both":
+	case (f.Kind == "cut" || f.Kind == "copy-cut") && f.Way != "to" && f.Way != "from" && f.Way != "both":
 		return bad(key+".way", "%q is none of to, from, both", f.Way)
 	case f.Kind == "latency" && f.Latency <= 0 || f.Kind != "latency" && f.Latency != 0:
 		return bad(key+".latency", "is over 0 for a latency and for nothing else")
@@ -501,6 +540,18 @@
 	return nil
 }
 
+// checkCopies reads a choice of the list service's copies.
+func (s *Scenario) checkCopies(pick string) error {
+	switch pick {
+	case "leader", "follower", "majority", "all":
+		return nil
+	}
+	if i, err := strconv.Atoi(strings.TrimPrefix(pick, "#")); err != nil || pick[0] != '#' || i < 0 || i >= s.Registry.Copies {
+		return fmt.Errorf("%q is none of leader, follower, majority, all, #0 to #%d", pick, s.Registry.Copies-1)
+	}
+	return nil
+}
+
 // checkPick reads a choice: "all", "3" (so many, drawn), "20%" (drawn), "#4" (that one), "zone:NAME",
 // and for servers "pod:N" and "kind:NAME".
 func (s *Scenario) checkPick(pick string, n int, servers bool) error {
