Register servers by an agent that survives the list service being away

Somebody has to keep servers on the list: marblelane register runs a server (or stands beside one), lists it once its health check passes, renews a third of its lease at a time, goes from copy to copy, and at SIGTERM marks it Terminating, waits the drain, takes it off and only then ends the server; one that ends by itself is taken off at once. Not taken: renewing while the check fails, which would keep a hung server listed. Tests with real copies and -race: all three copies away for a lease and back, removed by somebody and listed again, a sick server off after its lease. With real processes, silverreel follows the list with no change of its own: 1 host listed, then avoided, then gone (TestRegisterRunsAServerThatASidecarFollows). A test that read a follower before it had caught up now waits for it.

--- /dev/null
+++ b/cmd/marblelane/register.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"syscall"
+	"time"
+
+	"marblelane/internal/registry"
+)
+
+type registerCmd struct {
+	Copy     []string      `help:"Address of a copy of the list service; several, in order of preference." required:"" placeholder:"HOST:PORT"`
+	UID      string        `help:"The server's name, its own and lasting." required:""`
+	Endpoint string        `help:"HOST:PORT at which it serves." required:""`
+	Zone     string        `help:"Its zone."`
+	Model    string        `help:"Its kind of machine."`
+	Pod      int           `help:"Its pod group."`
+	Lease    time.Duration `help:"It is off the list after so long without a renewal." default:"15s"`
+	Health   string        `help:"URL that answers 200 when it can serve." placeholder:"URL"`
+	Drain    time.Duration `help:"From Terminating until it is taken off." default:"5s"`
+	Command  []string      `arg:"" optional:"" passthrough:"" help:"The server to run, after --; without one it runs already."`
+}
+
+// Run registers a server, and runs it if there is a command. The command gets SIGTERM only once it is off the list,
+// so that it answers what was sent meanwhile; when it ends by itself, it is taken off at once.
+func (c *registerCmd) Run(a *app) error {
+	agent := &registry.Agent{Copies: c.Copy, Lease: c.Lease, Health: c.Health, Drain: c.Drain, Log: a.log,
+		Entry: registry.Entry{UID: c.UID, Endpoint: c.Endpoint, Zone: c.Zone, Model: c.Model, PodGroup: c.Pod,
+			State: registry.Ready, Capacity: 1, BootMS: time.Now().UnixMilli()}}
+	command := c.Command
+	if len(command) > 0 && command[0] == "--" {
+		command = command[1:]
+	}
+	if len(command) == 0 {
+		return agent.Run(a.ctx)
+	}
+	server := exec.Command(command[0], command[1:]...)
+	server.Stdout, server.Stderr = a.out, a.errOut
+	server.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // a signal from the terminal is this command's to pass on
+	if err := server.Start(); err != nil {
+		return fmt.Errorf("register: %w", err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Wait() }()
+	ctx, cancel := context.WithCancel(a.ctx)
+	defer cancel()
+	left := make(chan error, 1)
+	go func() { left <- agent.Run(ctx) }()
+	select {
+	case err := <-ended: // nobody is there to drain
+		agent.Gone()
+		cancel()
+		return errors.Join(<-left, exitOf(err))
+	case err := <-left:
+		if kill := server.Process.Signal(syscall.SIGTERM); kill != nil && !errors.Is(kill, os.ErrProcessDone) {
+			err = errors.Join(err, kill)
+		}
+		return errors.Join(err, exitOf(<-ended))
+	}
+}
+
+// exitOf is how the server ended; at SIGTERM it may end by the signal.
+func exitOf(err error) error {
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		if s, ok := exit.Sys().(syscall.WaitStatus); ok && s.Signaled() && s.Signal() == syscall.SIGTERM {
+			return nil
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("register: the server ended with %w", err)
+	}
+	return nil
+}
--- a/cmd/marblelane/registry_test.go
+++ b/cmd/marblelane/registry_test.go
@@ -4,13 +4,16 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // serve starts a real copy with a configuration and gives where it serves.
@@ -130,3 +133,89 @@
 		})
 	}
 }
+
+// A server is run and registered, a real sidecar follows the list with no change of its own, and at SIGTERM the server
+// is marked Terminating, waited for, ended and taken off.
+func TestRegisterRunsAServerThatASidecarFollows(t *testing.T) {
+	dir := t.TempDir()
+	config := filepath.Join(dir, "one.toml")
+	if err := os.WriteFile(config, []byte("name = \"one\"\nlisten = \"127.0.0.1:0\"\nraft = \"127.0.0.1:0\"\nbeat = \"50ms\"\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	addr, _ := serve(t, config)
+	sidecar := filepath.Join(dir, "sidecar.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","management":"127.0.0.1:0","discovery":%q,"seed":"1",
+		"limits":{"cores":1,"memory_mb":128,"sockets":512},"known":{"rev":0,"all":true,"targets":[]},
+		"settings":{"classes":[{"name":"c","effect":"read_like","group":"all","on_time_ms":500,"hard_limit_ms":1500}],
+		"discovery":"automatic","quantum_ms":2,"zones":["a"]}}`, addr)
+	if err := os.WriteFile(sidecar, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	reel := exec.Command(filepath.Join(programs, "silverreel"))
+	reel.Env = []string{"NODE_CONFIG=" + sidecar}
+	log, err := reel.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := reel.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		reel.Process.Kill()
+		reel.Wait()
+	})
+	management := ""
+	lines := bufio.NewScanner(log)
+	for management == "" && lines.Scan() {
+		if _, rest, ok := strings.Cut(lines.Text(), "management="); ok {
+			management, _, _ = strings.Cut(rest, " ")
+		}
+	}
+	go func() {
+		for lines.Scan() {
+		}
+	}()
+	figures := func() string {
+		resp, err := http.Get("http://" + management + "/stats")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		all, _ := io.ReadAll(resp.Body)
+		return string(all)
+	}
+	wait := func(what string, is func() bool) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); !is(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("waited in vain for %s; the sidecar shows:\n%s", what, figures())
+			}
+		}
+	}
+	marker := filepath.Join(dir, "ended")
+	register := exec.Command(filepath.Join(programs, "marblelane"), "register", "--copy", "127.0.0.1:1", "--copy", addr, "--uid", "s-1",
+		"--endpoint", "127.0.0.1:9", "--zone", "a", "--lease", "3s", "--drain", "1s", "--",
+		"/bin/sh", "-c", `trap 'touch "$0"; exit 0' TERM; while :; do sleep 0.05; done`, marker)
+	if err := register.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { register.Process.Kill() })
+	wait("the server at the sidecar", func() bool { return strings.Contains(figures(), "svc_hosts_listed 1\n") })
+	if strings.Contains(figures(), "svc_hosts_down 1\n") {
+		t.Error("a ready server is avoided")
+	}
+	if err := register.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	wait("the drain at the sidecar", func() bool { return strings.Contains(figures(), "svc_hosts_down 1\n") })
+	if _, err := os.Stat(marker); err == nil {
+		t.Error("the server was ended while it drained")
+	}
+	wait("the removal at the sidecar", func() bool { return strings.Contains(figures(), "svc_hosts_listed 0\n") })
+	if err := register.Wait(); err != nil {
+		t.Errorf("register ended with %v", err)
+	}
+	if _, err := os.Stat(marker); err != nil {
+		t.Error("the server was not told to end")
+	}
+}
--- /dev/null
+++ b/internal/registry/agent.go
@@ -0,0 +1,198 @@
+package registry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+)
+
+// Agent registers one server and keeps it registered: once its health check passes, until its context ends; then it
+// marks it Terminating, waits until all have heard, and takes it off the list.
+//
+// It survives the service being away: it goes from copy to copy, for as long as it takes, and registers again where
+// its lease has ended. It never changes the start time that it was given, so that a registration of a drained server
+// cannot make it ready again.
+type Agent struct {
+	Copies []string // addresses of copies, in order of preference
+	Entry  Entry
+	Lease  time.Duration // 15 s
+	Health string        // URL that answers 200 when the server can serve; empty: it always can
+	Drain  time.Duration // from Terminating until it is removed; 5 s
+	Log    *slog.Logger
+
+	at     int // the copy that answered last
+	client http.Client
+	gone   atomic.Bool
+}
+
+// Gone says that the server has ended by itself: nothing is left to drain, and Run takes it off at once.
+func (a *Agent) Gone() { a.gone.Store(true) }
+
+const (
+	agentCall  = 2 * time.Second
+	healthWait = time.Second
+	// renewals a lease: two may be lost.
+	renewParts = 3
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 2 * time.Second
+)
+
+// Run keeps the server registered until ctx ends, and takes it off in order. The time that this takes is bounded:
+// the drain and one call's time for each copy, twice.
+func (a *Agent) Run(ctx context.Context) error {
+	orDuration(&a.Lease, 15*time.Second)
+	orDuration(&a.Drain, 5*time.Second)
+	if a.Log == nil {
+		a.Log = slog.New(slog.DiscardHandler)
+	}
+	if len(a.Copies) == 0 {
+		return errors.New("register: no copy of the list service is named")
+	}
+	if a.Entry.State == "" {
+		a.Entry.State = Ready
+	}
+	if err := a.Entry.Check(); err != nil {
+		return fmt.Errorf("register: %w", err)
+	}
+	a.client = http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	registered, told := false, false
+	wait := retryFirst
+	for ctx.Err() == nil {
+		next := a.Lease / renewParts
+		switch {
+		case !a.healthy(ctx):
+			// It is not renewed: a server that fails its check for a whole lease is off the list.
+			next = min(next, time.Second)
+			if registered {
+				a.Log.Warn("register: the health check fails, the lease is not renewed", "uid", a.Entry.UID)
+			}
+		default:
+			err := a.keep(ctx, registered)
+			switch {
+			case err == nil:
+				if !registered {
+					a.Log.Info("register: listed", "uid", a.Entry.UID)
+				}
+				registered, told, wait = true, true, retryFirst
+			case errors.Is(err, ErrUnknown): // its lease has ended meanwhile
+				registered, next = false, 0
+			default:
+				a.Log.Warn("register: no copy takes the call", "uid", a.Entry.UID, "error", err)
+				next, wait = wait/2+rand.N(wait/2+1), min(2*wait, retryMost)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(next):
+		}
+	}
+	if !told {
+		return nil
+	}
+	return a.leave()
+}
+
+// leave takes the server off the list. Its context is over, so its calls have times of their own.
+func (a *Agent) leave() error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(len(a.Copies))*agentCall)
+	defer cancel()
+	err := a.try(ctx, http.MethodPost, "/drain", nil)
+	if errors.Is(err, ErrUnknown) {
+		return nil // it is off already
+	}
+	if err != nil {
+		err = fmt.Errorf("register: that it drains could not be told: %w", err)
+	}
+	if !a.gone.Load() {
+		a.Log.Info("register: drains", "uid", a.Entry.UID, "for", a.Drain)
+		time.Sleep(a.Drain)
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), time.Duration(len(a.Copies))*agentCall)
+	defer cancel()
+	if gone := a.try(ctx, http.MethodDelete, "", nil); gone != nil {
+		err = errors.Join(err, fmt.Errorf("register: its removal could not be told, its lease will end: %w", gone))
+	}
+	return err
+}
+
+// healthy asks the server's health check.
+func (a *Agent) healthy(ctx context.Context) bool {
+	if a.Health == "" {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, healthWait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, a.Health, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxWrite)) // only the status counts
+	return resp.StatusCode == http.StatusOK
+}
+
+// keep renews the lease, or registers.
+func (a *Agent) keep(ctx context.Context, registered bool) error {
+	if registered {
+		return a.try(ctx, http.MethodPost, "/renew", nil)
+	}
+	body, err := json.Marshal(registration{a.Entry, a.Lease.Milliseconds()})
+	if err != nil {
+		return fmt.Errorf("register: %w", err)
+	}
+	return a.try(ctx, http.MethodPost, "", body)
+}
+
+// try makes a call at the copies in turn, from the one that answered last on.
+func (a *Agent) try(ctx context.Context, method, what string, body []byte) error {
+	var failed error
+	for range a.Copies {
+		err := a.call(ctx, a.Copies[a.at], method, what, body)
+		if err == nil || errors.Is(err, ErrUnknown) || errors.Is(err, ErrDrained) {
+			return err
+		}
+		failed = err
+		if ctx.Err() != nil {
+			break
+		}
+		a.at = (a.at + 1) % len(a.Copies)
+	}
+	return failed
+}
+
+func (a *Agent) call(ctx context.Context, copyAddr, method, what string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, agentCall)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+copyAddr+listPath+"/"+url.PathEscape(a.Entry.UID)+what, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("register: %w", err)
+	}
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("register: %w", err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxWrite))
+	switch {
+	case resp.StatusCode == http.StatusNotFound:
+		return ErrUnknown
+	case resp.StatusCode == http.StatusConflict && what == "" && method == http.MethodPost:
+		return fmt.Errorf("%w: %s", ErrDrained, bytes.TrimSpace(text))
+	case resp.StatusCode != http.StatusOK:
+		return fmt.Errorf("register: %s answers %s: %s", copyAddr, resp.Status, bytes.TrimSpace(text))
+	}
+	return err
+}
--- /dev/null
+++ b/internal/registry/agent_test.go
@@ -0,0 +1,92 @@
+package registry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// A server is listed once it is healthy, survives the service being away, and leaves in order.
+func TestAgent(t *testing.T) {
+	all := cluster(t, 3, nil)
+	var healthy atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !healthy.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer server.Close()
+	a := &Agent{Copies: []string{all[0].cfg.Listen, all[1].cfg.Listen, all[2].cfg.Listen}, Lease: 900 * time.Millisecond,
+		Health: server.URL, Drain: 300 * time.Millisecond, Entry: *entry("s1", 7)}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	listed := func() string { return uids(t, leader(t, all)) }
+	time.Sleep(200 * time.Millisecond) // it has been asked, and it is not healthy
+	if got := listed(); got != "" {
+		t.Errorf("before it is healthy the list is %s", got)
+	}
+	healthy.Store(true)
+	until(t, "the server on the list", func() bool { return listed() == "s1=Ready" })
+
+	// All copies go and come back; a new leader gives its lease a full term, and it is renewed in time.
+	for _, c := range all {
+		c.end(t)
+	}
+	time.Sleep(a.Lease)
+	for _, c := range all {
+		c.start(t)
+	}
+	if got := listed(); got != "s1=Ready" {
+		t.Errorf("after the service was away the list is %s", got)
+	}
+	// Taken off by somebody, it comes back.
+	if code, _ := call(t, "DELETE", leader(t, all).cfg.Listen, listPath+"/s1", ""); code != 200 {
+		t.Fatal(code)
+	}
+	until(t, "the server on the list again", func() bool { return listed() == "s1=Ready" })
+
+	w := watch(t, leader(t, all).cfg.Listen, 0)
+	w.next(t)
+	stop()
+	var states []string
+	for len(states) == 0 || states[len(states)-1] != Gone {
+		for _, e := range w.next(t).Targets {
+			states = append(states, e.State)
+		}
+	}
+	if got := strings.Join(states, " "); got != "Terminating Gone" {
+		t.Errorf("it left with %s", got)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// A server that fails its check for a whole lease is off the list.
+func TestSickServerIsNotRenewed(t *testing.T) {
+	one := cluster(t, 1, func(c *Config) { c.Dir, c.Peers = "", nil })[0]
+	var healthy atomic.Bool
+	healthy.Store(true)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !healthy.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer server.Close()
+	a := &Agent{Copies: []string{"127.0.0.1:1", one.cfg.Listen}, Lease: 500 * time.Millisecond, Health: server.URL, Entry: *entry("s1", 7)}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	until(t, "the server on the list", func() bool { return uids(t, one) == "s1=Ready" })
+	healthy.Store(false)
+	until(t, "the sick server off the list", func() bool { return uids(t, one) == "" })
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/registry/node_test.go
+++ b/internal/registry/node_test.go
@@ -315,6 +315,10 @@
 	lead.start(t)
 	until(t, "the copy that came back", func() bool { return uids(t, lead) == "s1=Ready s2=Ready" })
 
+	for _, c := range all { // a follower may be behind, and could not catch up alone
+		until(t, "both entries at "+c.cfg.Name, func() bool { return uids(t, c) == "s1=Ready s2=Ready" })
+	}
+
 	// Without a majority writes are refused, at once once the leader knows; reads go on.
 	var alone *copyOf
 	for _, c := range all {
