--- a/internal/lab/copies/copies.go
+++ b/internal/lab/copies/copies.go
@@ -138,6 +138,16 @@
 	return nil
 }
 
+// FillDisk makes each write of the child beyond the first bytes of a file fail from now on (with EFBIG, by its limit of
+// the size of files), as a full disk would.
+func (c *Copy) FillDisk(room uint64) error {
+	limit := &unix.Rlimit{Cur: room, Max: room}
+	if err := unix.Prlimit(c.PID, unix.RLIMIT_FSIZE, limit, nil); err != nil {
+		return fmt.Errorf("%s: limit of file sizes: %w", c.Spec.Name, err)
+	}
+	return nil
+}
+
 // Kill ends the child and waits for it.
 func (c *Copy) Kill() {
 	_ = c.Signal(syscall.SIGKILL) // it has ended, or it will
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -138,6 +138,7 @@
 	for name, harms := range map[string]bool{
 		"cut-requests": true, "cut-answers": true, "freeze": true, "herd": true, "roll": false, "upgrade": false,
 		"registry-leader-killed": false, "registry-leader-frozen": false, "registry-cut": false, "registry-majority-lost": false,
+		"registry-disk-full": false, "registry-disk-lost": false,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -153,8 +154,8 @@
 				t.Error("nobody was harmed: the fault did not take place")
 			}
 			if o := rep.Registry; o != nil {
-				if len(o.Gaps) == 0 || o.Writes == 0 || o.ReadsLost > 0 {
-					t.Errorf("no fault, no write, or lost reads: %+v", o)
+				if len(o.Gaps) == 0 || o.Writes == 0 || o.ReadsLost > 0 || len(rep.Missed) > 0 {
+					t.Errorf("no fault, no write, or lost reads: %+v, %v", o, rep.Missed)
 				}
 				return
 			}
--- a/internal/lab/registry.go
+++ b/internal/lab/registry.go
@@ -73,6 +73,7 @@
 	seen     map[int64]uint64 // the hash of the list at each revision, as some watcher had it
 	breaches []invariant.Breach
 	counts   map[string]int
+	missed   []string
 	lines    atomic.Int64
 	rejoins  atomic.Int64
 	value    atomic.Int64
@@ -624,12 +625,97 @@
 			return nil
 		}
 		return func() error { return signal(syscall.SIGCONT) }, signal(syscall.SIGSTOP)
+	case "copy-disk-full":
+		for _, c := range chosen {
+			if err := c.process().FillDisk(4096); err != nil {
+				return nil, err
+			}
+		}
+		return func() error { return rr.afterFullDisk(ctx, chosen) }, nil
+	case "copy-disk-lost":
+		for _, c := range chosen {
+			c.process().Kill()
+			if err := os.RemoveAll(filepath.Join(c.spec.Dir, "data")); err != nil {
+				return nil, err
+			}
+		}
+		return func() error { return rr.rejoin(ctx, chosen) }, nil
 	case "copy-cut":
 		return func() error { return rr.cutOff(chosen, p.Fault.Way, false) }, rr.cutOff(chosen, p.Fault.Way, true)
 	}
 	return nil, fmt.Errorf("no such fault of the list service")
 }
 
+// miss says that something did not come out as it has to.
+func (rr *registryRun) miss(text string) {
+	rr.mu.Lock()
+	defer rr.mu.Unlock()
+	rr.missed = append(rr.missed, text)
+}
+
+// afterFullDisk starts copies whose disk was full again; by then they have to have ended by themselves.
+func (rr *registryRun) afterFullDisk(ctx context.Context, chosen []*registryCopy) error {
+	start, cancel := context.WithTimeout(context.WithoutCancel(ctx), startWait)
+	defer cancel()
+	for _, c := range chosen {
+		select {
+		case <-c.process().Ended():
+			if !strings.Contains(c.process().Tail(), "the disk takes no more") {
+				rr.miss(fmt.Sprintf("copy %s ended without a word of its disk", c.name))
+			}
+		default:
+			rr.miss(fmt.Sprintf("copy %s goes on although its disk takes no more", c.name))
+			c.process().Kill()
+		}
+		if err := rr.launch(start, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// rejoin takes copies that have lost their disk out of the cluster, starts them empty, and adds them again: what
+// docs/registry.md tells an operator to do.
+func (rr *registryRun) rejoin(ctx context.Context, chosen []*registryCopy) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), startWait)
+	defer cancel()
+	atLeader := func(method, path string, body []byte) error {
+		for {
+			if lead := rr.leader(ctx); lead != nil {
+				code, text, err := quick(ctx, method, "http://"+lead.serve+path, body)
+				if err == nil && code == http.StatusOK {
+					return nil
+				}
+				rr.out.Debug("lab: copies change", "code", code, "answer", string(text), "error", err)
+			}
+			if !sleep(ctx, 50*time.Millisecond) {
+				return fmt.Errorf("%s %s: no leader takes it", method, path)
+			}
+		}
+	}
+	for _, c := range chosen {
+		if err := atLeader("DELETE", "/registry/copies/"+c.name, nil); err != nil {
+			return err
+		}
+		text := fmt.Sprintf("name = %q\nlisten = %q\nraft = %q\nadvertise = %q\ndir = %q\nbeat = %q\njoin = true\n", c.name, c.serve,
+			c.raft, c.port.Addr(0), filepath.Join(c.spec.Dir, "data"), rr.reg.Beat.Of())
+		if err := os.WriteFile(filepath.Join(c.spec.Dir, "registry.toml"), []byte(text), 0o644); err != nil {
+			return err
+		}
+		if err := rr.launch(ctx, c); err != nil {
+			return err
+		}
+		body, err := json.Marshal(registry.Peer{Raft: c.port.Addr(0), Serve: c.serve})
+		if err != nil {
+			return err
+		}
+		if err := atLeader("POST", "/registry/copies/"+c.name, body); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // choose finds the copies that a fault means, at the moment it happens.
 func (rr *registryRun) choose(ctx context.Context, pick string) []*registryCopy {
 	lead := rr.leader(ctx)
@@ -798,7 +884,7 @@
 	}
 	slices.Sort(lag)
 	rep := &Report{Scenario: rr.s.Name, Title: rr.s.Title, Seed: rr.plan.Seed, LengthS: rr.s.Length.Of().Seconds(),
-		Registry: out, Verdict: &invariant.Verdict{Counts: rr.counts, Breaches: rr.breaches,
+		Registry: out, Missed: rr.missed, Verdict: &invariant.Verdict{Counts: rr.counts, Breaches: rr.breaches,
 			Checked: map[string]int{"linearizable": len(rr.ops), "watchers-agree": int(out.Lines)}}}
 	if len(lag) > 0 {
 		rep.Lateness.LagMS = float64(lag[int(0.99*float64(len(lag)-1))]) / float64(time.Millisecond)
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -251,6 +251,8 @@
 		"copy-kill":           {copies: true, lasts: true},
 		"copy-freeze":         {copies: true, lasts: true},
 		"copy-cut":            {copies: true, lasts: true},
+		"copy-disk-full":      {copies: true, lasts: true},
+		"copy-disk-lost":      {copies: true, lasts: true},
 		"defect-stale-read":   {lasts: true},
 		"defect-skipped-line": {lasts: true},
 
