--- a/internal/lab/registry.go
+++ b/internal/lab/registry.go
@@ -158,8 +158,8 @@
 			return err
 		}
 		config := filepath.Join(dir, "registry.toml")
-		text := fmt.Sprintf("name = %q\nlisten = %q\nraft = %q\ndir = %q\nbeat = %q\n%s", c.name, c.serve, c.raft,
-			filepath.Join(dir, "data"), rr.reg.Beat.Of(), peers.String())
+		text := fmt.Sprintf("name = %q\nlisten = %q\nraft = %q\ndir = %q\nbeat = %q\nmost_stale = %q\n%s", c.name, c.serve, c.raft,
+			filepath.Join(dir, "data"), rr.reg.Beat.Of(), rr.reg.MostStale.Of(), peers.String())
 		if err := os.WriteFile(config, []byte(text), 0o644); err != nil {
 			return err
 		}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -141,6 +141,8 @@
 	Pause    Duration `toml:"pause"`   // of a writer between two calls
 	Beat     Duration `toml:"beat"`    // of the leader
 	Program  string   `toml:"program"` // the command's file; empty: the one that runs
+	// MostStale is after how long without a leader a copy refuses reads and ends its watches; 0: never.
+	MostStale Duration `toml:"most_stale"`
 }
 
 // Rules are the figures of the rules, as the sidecars' settings state them.
@@ -398,6 +400,7 @@
 		{"registry.copies", float64(s.Registry.Copies), 0, 9}, {"registry.writers", float64(s.Registry.Writers), 0, 100},
 		{"registry.watchers", float64(s.Registry.Watchers), 0, 10000}, {"registry.entries", float64(s.Registry.Entries), 0, 10000},
 		{"registry.pause", float64(s.Registry.Pause), 0, inf}, {"registry.beat", float64(s.Registry.Beat), 0, 1e10},
+		{"registry.most_stale", float64(s.Registry.MostStale), 0, inf},
 		{"network.same", float64(s.Network.Same), 0, 1e10}, {"network.cross", float64(s.Network.Cross), 0, 1e10},
 		{"network.jitter", s.Network.Jitter, 0, 1},
 		{"traffic.load", s.Traffic.Load, 0, 100}, {"traffic.rate", s.Traffic.Rate, 0, 1e6},
