--- a/cmd/marblelane/lab.go
+++ b/cmd/marblelane/lab.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"os"
 	"os/exec"
@@ -85,6 +86,15 @@
 	return nil
 }
 
+// ready reads a scenario and finds the sidecar's program for it.
+func (p *program) ready(a *app, name string) (s *scenario.Scenario, path string, done func(), err error) {
+	if s, err = load(name); err != nil {
+		return nil, "", nil, err
+	}
+	path, done, err = p.find(a)
+	return s, path, done, err
+}
+
 // load reads a scenario: one that comes with the program by its name, any other by its file.
 func load(name string) (*scenario.Scenario, error) {
 	if strings.HasSuffix(name, ".toml") {
@@ -302,6 +312,15 @@
 	return nil
 }
 
+// show prints what was measured, as JSON or as a table.
+func show[T any](a *app, asJSON bool, v T, table func(io.Writer, T)) error {
+	if asJSON {
+		return printJSON(a, v)
+	}
+	table(a.out, v)
+	return nil
+}
+
 type labScale struct {
 	program
 	Scenario string `help:"The scenario whose fleet is sized." default:"scale"`
@@ -311,11 +330,7 @@
 }
 
 func (c *labScale) Run(a *app) error {
-	s, err := load(c.Scenario)
-	if err != nil {
-		return err
-	}
-	path, done, err := c.find(a)
+	s, path, done, err := c.ready(a, c.Scenario)
 	if err != nil {
 		return err
 	}
@@ -324,11 +339,7 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		return printJSON(a, points)
-	}
-	lab.PrintScale(a.out, points)
-	return nil
+	return show(a, c.JSON, points, lab.PrintScale)
 }
 
 type labOverhead struct {
@@ -338,11 +349,7 @@
 }
 
 func (c *labOverhead) Run(a *app) error {
-	s, err := load(c.Scenario)
-	if err != nil {
-		return err
-	}
-	path, done, err := c.find(a)
+	s, path, done, err := c.ready(a, c.Scenario)
 	if err != nil {
 		return err
 	}
@@ -351,11 +358,7 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		return printJSON(a, ways)
-	}
-	lab.PrintOverhead(a.out, ways)
-	return nil
+	return show(a, c.JSON, ways, lab.PrintOverhead)
 }
 
 type labListScale struct {
@@ -376,9 +379,5 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		return printJSON(a, points)
-	}
-	lab.PrintListScale(a.out, points)
-	return nil
+	return show(a, c.JSON, points, lab.PrintListScale)
 }
