Count the leases that end within a term, as a cut-off does not end them at one moment

TestLeases failed in one of eight runs (-race, 4 cores): it waited for nine held entries, and two had been taken off. The cause is the service's: it weighed only those whose leases ended between two looks, 0.2 s apart, and servers renew at different times. A cut-off from 100 servers that renew over a third of a term would have taken all off, four at a time.

--- a/internal/registry/leases.go
+++ b/internal/registry/leases.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -10,6 +11,13 @@
 	mu   sync.Mutex
 	ends map[string]time.Time
 	held int
+	past []ended // what has ended within the last term
+}
+
+// ended is how many leases ended at a time.
+type ended struct {
+	at time.Time
+	n  int
 }
 
 func newLeases() *leases { return &leases{ends: map[string]time.Time{}} }
@@ -35,7 +43,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.ends)
-	l.held = 0
+	l.held, l.past = 0, nil
 }
 
 func (l *leases) heldCount() int {
@@ -44,16 +52,19 @@
 	return l.held
 }
 
-// due gives the entries whose leases have ended, with the revision that was seen; or, when they are more than
-// holdShare of all leased ones, only how many are held: it is likelier that this copy is cut off from them than that all
-// have died at once. They are held until enough of them are renewed or removed.
+// due gives the entries whose leases have ended, with the revision that was seen; or, when they and those that ended
+// within the last term are more than holdShare of all leased ones, only how many are held: it is likelier that this copy
+// is cut off from them than that so many have died. They are held until enough of them are renewed or removed. The
+// term counts, as servers renew at different times: what one cut-off ends does not end at one moment.
 func (l *leases) due(all []lease, holdShare float64, now time.Time) (expired map[string]int64, held int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	expired = map[string]int64{}
 	known := make(map[string]bool, len(all))
+	longest := time.Duration(0)
 	for _, one := range all {
 		known[one.uid] = true
+		longest = max(longest, one.term)
 		end, ok := l.ends[one.uid]
 		if !ok { // registered before this copy led: a full term from now on
 			l.ends[one.uid] = now.Add(one.term)
@@ -68,10 +79,18 @@
 			delete(l.ends, uid)
 		}
 	}
-	if len(all) > fewLeases && float64(len(expired)) > holdShare*float64(len(all)) {
+	recent := 0
+	l.past = slices.DeleteFunc(l.past, func(e ended) bool { return now.Sub(e.at) > longest })
+	for _, e := range l.past {
+		recent += e.n
+	}
+	if sum := len(all) + recent; sum > fewLeases && len(expired) > 0 && float64(len(expired)+recent) > holdShare*float64(sum) {
 		l.held = len(expired)
 		return nil, l.held
 	}
 	l.held = 0
+	if len(expired) > 0 {
+		l.past = append(l.past, ended{now, len(expired)})
+	}
 	return expired, 0
 }
