Hold an upgraded sidecar to the drains that its older process was told

Reading the whole change again: at an upgrade the lab's drain rule forgot all that the sidecar had been told, so a send to a draining server by either process could not break it, and the check of descriptors had never been seen to fail. The grace now begins anew when the new process serves, and only a process that starts alone begins with nothing.

--- a/internal/lab/invariant/invariant.go
+++ b/internal/lab/invariant/invariant.go
@@ -271,6 +271,8 @@
 func (c *checker) drains() {
 	type pair struct{ sidecar, server int32 }
 	told := map[pair]time.Duration{}
+	running := map[int32]int{} // processes of each sidecar that serve
+	started := map[int32]time.Duration{}
 	for i := range c.events {
 		e := &c.events[i]
 		p := pair{e.Sidecar, e.Server}
@@ -284,12 +286,25 @@
 				c.out.Checked[Drain]++
 			}
 		case record.Process:
-			if e.Note == Started { // a new process knows what it is told from now on
-				for p := range told {
-					if p.sidecar == e.Sidecar {
+			switch e.Note {
+			case Ended, Crashed:
+				running[e.Sidecar]--
+			case Serving:
+				// A process that starts alone knows what it is told from now on. At an upgrade both are one sidecar:
+				// the old one knows all, and the grace begins anew when the new one serves.
+				for p, at := range told {
+					if p.sidecar != e.Sidecar {
+						continue
+					}
+					if running[e.Sidecar] > 0 {
+						told[p] = max(at, e.T)
+					} else if at < started[e.Sidecar] {
 						delete(told, p)
 					}
 				}
+				running[e.Sidecar]++
+			case Started:
+				started[e.Sidecar] = e.T
 			}
 		case record.FirstByte:
 			at, since := told[p]
--- /dev/null
+++ b/internal/lab/invariant/invariant_test.go
@@ -0,0 +1,67 @@
+package invariant
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"marblelane/internal/lab/record"
+)
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func process(at int, note string) record.Event {
+	return record.Event{T: ms(at), Kind: record.Process, Server: record.Nobody, Class: record.Nobody, Note: note}
+}
+
+func told(at int, state string) record.Event {
+	return record.Event{T: ms(at), Kind: record.Told, Server: 3, Class: record.Nobody, Note: state}
+}
+
+func send(at int) record.Event {
+	return record.Event{T: ms(at), Kind: record.FirstByte, Request: 7, Server: 3}
+}
+
+// What binds a sidecar through freezes, restarts and upgrades.
+func TestDrainBinds(t *testing.T) {
+	facts := Facts{Unsafe: []bool{false}, MaxAttempts: 3, DrainGrace: 2 * time.Second}
+	up := []record.Event{process(0, Started), process(1, Serving)}
+	for name, c := range map[string]struct {
+		events []record.Event
+		broken bool
+	}{
+		"within the grace":        {[]record.Event{told(100, "Terminating"), send(2100)}, false},
+		"after the grace":         {[]record.Event{told(100, "Terminating"), send(2200)}, true},
+		"told twice":              {[]record.Event{told(100, "Terminating"), told(1500, "Gone"), send(2200)}, true},
+		"ready again":             {[]record.Event{told(100, "Terminating"), told(1500, "Ready"), send(2200)}, false},
+		"frozen meanwhile":        {[]record.Event{process(50, Frozen), told(100, "Terminating"), process(3000, Thawed), send(4900)}, false},
+		"long after it woke":      {[]record.Event{process(50, Frozen), told(100, "Terminating"), process(3000, Thawed), send(5200)}, true},
+		"a restart knows nothing": {[]record.Event{told(100, "Terminating"), process(200, Killed), process(210, Ended), process(300, Started), process(400, Serving), send(9000)}, false},
+		"told while it starts":    {[]record.Event{process(200, Killed), process(210, Ended), process(300, Started), told(350, "Terminating"), process(400, Serving), send(9000)}, true},
+		"an upgrade gives time":   {[]record.Event{told(100, "Terminating"), process(1900, Started), process(2000, Serving), send(3900)}, false},
+		"an upgrade knows":        {[]record.Event{told(100, "Terminating"), process(1900, Started), process(2000, Serving), process(2100, Ended), send(4200)}, true},
+	} {
+		got := slices.Contains(Check(append(slices.Clone(up), c.events...), facts).Broken(), Drain)
+		if got != c.broken {
+			t.Errorf("%s: broken is %v", name, got)
+		}
+	}
+}
+
+// The kernel holds copies to their descriptors, so no scenario can plant this; the check itself has to be able to fail.
+func TestLimits(t *testing.T) {
+	facts := Facts{MemoryMB: 64, Sockets: 100}
+	for _, c := range []struct {
+		rss    int64
+		open   int32
+		broken bool
+	}{{63 << 20, 100, false}, {65 << 20, 10, true}, {10 << 20, 101, true}} {
+		events := []record.Event{{Kind: record.Sample, Server: record.Nobody, Class: record.Nobody, N: c.rss, Status: c.open}}
+		if got := len(Check(events, facts).Broken()) > 0; got != c.broken {
+			t.Errorf("%d bytes and %d descriptors: broken is %v", c.rss, c.open, got)
+		}
+	}
+	if len(Check([]record.Event{process(5, Crashed)}, facts).Broken()) != 1 {
+		t.Error("a copy that ends unasked breaks no rule")
+	}
+}
