Hold the window of a key at the first and the last byte of a further attempt

A request with a key may be sent again for window_ms from the send of the first attempt that may have run. That was looked at only when the module decided: until the first byte a connection may take as long as connect_timeout_ms to come up, the attempt before may hold the lock on writing, and a server that does not read can hold up the write up to the deadline. The last byte then arrived after the servers had forgotten the key, and the request could run twice. The module's own check was ruled out: it is right at its own time.

To blame: sender.write, which knew only the time of the answer, and upstreams.get, which dialed up to that time.

The first byte of the first attempt that may have run is noted. A further attempt dials and writes only until the window is over, and looks at it last of all; what comes too late was never sent, by no fault of the server. Other classes and first attempts make no further system call; a further attempt with a key sets one more deadline.

TestWindowOfAKeyEndsUnderTheWrite has a server that does not read: without the change it gets the whole request after the window, with it never.

--- a/internal/sidecar/attempt_test.go
+++ b/internal/sidecar/attempt_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -89,3 +90,92 @@
 		})
 	}
 }
+
+// keyedWindow makes an attempt one of a class whose key servers know for so long.
+func keyedWindow(p *upstreams, a *attempt, window time.Duration, body []byte) {
+	a.call.ev.Class = 1
+	p.windows[1] = window
+	a.call.out = &outbound{method: "POST", url: &url.URL{Path: "/api"}, host: "b", header: http.Header{}, body: body}
+}
+
+// further gives the next attempt of a request.
+func further(a *attempt) *attempt {
+	return &attempt{call: a.call, number: a.number + 1, up: a.up, cut: a.cut, ctx: a.ctx, cancel: a.cancel}
+}
+
+// A key may be repeated for its window only. That ends while the further attempt waits for its first byte: nothing is
+// sent, whatever was decided before.
+func TestWindowOfAKeyEndsBeforeTheFirstByte(t *testing.T) {
+	b := newBackend(t, "a", respond("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", true))
+	p, a, conn, _ := exchanging(t, b)
+	p.put(conn)
+	const window = 50 * time.Millisecond
+	keyedWindow(p, a, window, []byte("plate 12-34"))
+	if r := p.send(a); r.result != balance.Failed {
+		t.Fatalf("the first attempt: result %v", r.result)
+	}
+	next := further(a)
+	next.call.writing.Lock() // it has its connection, and waits here
+	done := make(chan reply, 1)
+	go func() { done <- p.send(next) }()
+	<-time.After(time.Until(a.call.out.ran.Add(window)))
+	next.call.writing.Unlock()
+	if r := receive(t, "the further attempt", done); r.result != balance.Moot {
+		t.Errorf("result %v, want that nothing was sent", r.result)
+	}
+	if n := b.requests.Load(); n != 1 {
+		t.Errorf("%d attempts at the server, want the first alone", n)
+	}
+}
+
+// What proves that nothing ran begins no window.
+func TestWindowOfAKeyBeginsWithWhatMayHaveRun(t *testing.T) {
+	b := newBackend(t, "a", respond("HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", true))
+	p, a, conn, _ := exchanging(t, b)
+	p.put(conn)
+	keyedWindow(p, a, time.Nanosecond, []byte("plate 12-34"))
+	for range 2 {
+		if r := p.send(a); r.result != balance.Full {
+			t.Errorf("result %v, want that the server had no place", r.result)
+		}
+		a = further(a)
+	}
+	if n := b.requests.Load(); n != 2 {
+		t.Errorf("%d attempts at the server, want 2", n)
+	}
+}
+
+// A server that does not read holds up the write: the last byte must not go out once the window is over.
+func TestWindowOfAKeyEndsUnderTheWrite(t *testing.T) {
+	reads := make(chan struct{})
+	whole := make(chan bool, 1)
+	at := rawBackend(t, "a", func(c net.Conn, in *bufio.Reader) {
+		<-reads
+		req, err := http.ReadRequest(in)
+		if err == nil {
+			_, err = io.Copy(io.Discard, req.Body)
+		}
+		whole <- err == nil
+	})
+	b := newBackend(t, "b", ok)
+	b.target = at
+	p, a, conn, _ := exchanging(t, b)
+	p.put(conn)
+	const window = 50 * time.Millisecond
+	keyedWindow(p, a, window, make([]byte, maxBody))
+	a.call.out.ran = time.Now() // by an attempt before
+	done := make(chan reply, 1)
+	go func() { done <- p.send(a) }()
+	select {
+	case r := <-done:
+		if r.result != balance.Moot {
+			t.Errorf("result %v, want that it was given up", r.result)
+		}
+	case <-time.After(patience / 2):
+		t.Error("the write went on after the window")
+	}
+	close(reads)
+	if receive(t, "the server", whole) {
+		t.Error("the server got the whole request after the window")
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -84,6 +84,9 @@
 	header http.Header // end-to-end headers only
 	body   []byte
 	upload *upload // in place of body: it is passed on as it comes
+	// The first bytes of the latest attempt, and of the first that may have run; zero: none. Its attempts follow each
+	// other, so there is no lock.
+	begun, ran time.Time
 }
 
 // reply is how an attempt or probe ended.
@@ -102,6 +105,7 @@
 	connIdle    time.Duration
 	reportNames []string
 	probePath   string
+	windows     []time.Duration // by class: for how long it may be sent again; 0: nothing to watch
 	ages        idleAges
 	figures     *figures
 	offer       func(any)       // hands an answer that has begun to the loop
@@ -128,6 +132,9 @@
 		reportNames: cfg.reportNames, probePath: "/health/live",
 		kept: map[*upstream]struct{}{}, most: most, offer: func(any) {}, figures: newFigures(cfg.classNames),
 	}
+	for i := range cfg.balance.Classes {
+		p.windows = append(p.windows, repeatWindow(&cfg.balance.Classes[i]))
+	}
 	p.dials, p.endDial = context.WithCancel(context.Background())
 	if cfg.balance.Reports != balance.ReportNone {
 		p.probePath = "/stats"
@@ -135,8 +142,33 @@
 	return p
 }
 
+// repeatWindow is for how long servers know a class's key; 0: it has none, or no end that matters.
+func repeatWindow(class *balance.Class) time.Duration {
+	if class.Effect != balance.Keyed || class.Window >= float64(maxWait/time.Millisecond) {
+		return 0
+	}
+	return max(millis(class.Window), 1)
+}
+
 // send makes one attempt and tells how it ended.
 func (p *upstreams) send(a *attempt) reply {
+	r := p.exchangeCall(a)
+	if out := a.call.out; out.ran.IsZero() && !r.result.NeverRan() {
+		out.ran = out.begun
+	}
+	return a.look.ended(r)
+}
+
+// repeatUntil is when the last byte of an attempt has to be out, as servers forget its key; zero: whenever.
+func (p *upstreams) repeatUntil(a *attempt) time.Time {
+	if a == nil || a.call.out.ran.IsZero() || p.windows[a.call.ev.Class] == 0 {
+		return time.Time{}
+	}
+	return a.call.out.ran.Add(p.windows[a.call.ev.Class])
+}
+
+// exchangeCall is exchange with the client's request and its times.
+func (p *upstreams) exchangeCall(a *attempt) reply {
 	c := a.call
 	req := &http.Request{
 		Method: c.out.method, URL: c.out.url, Host: c.out.host, Header: c.out.header.Clone(),
@@ -146,9 +178,9 @@
 		req.ContentLength = u.length
 		r := p.exchange(a.ctx, a.up, time.Now().Add(maxWait), req, a)
 		r.spent = u.spent()
-		return a.look.ended(r)
+		return r
 	}
-	return a.look.ended(p.exchange(a.ctx, a.up, a.cut, req, a))
+	return p.exchange(a.ctx, a.up, a.cut, req, a)
 }
 
 // probe asks a server how it is.
@@ -167,14 +199,19 @@
 // send again by itself on a broken kept connection, which is one more attempt; here a request moves to
 // another connection only while its last byte has not been written.
 func (p *upstreams) exchange(ctx context.Context, up *upstream, cut time.Time, req *http.Request, a *attempt) reply {
+	until := p.repeatUntil(a)
+	sendBy := cut
+	if !until.IsZero() && until.Before(cut) {
+		sendBy = until
+	}
 	for {
-		conn, kept, err := p.get(ctx, up, cut, a)
+		conn, kept, err := p.get(ctx, up, sendBy, a)
 		if err != nil {
-			return reply{result: unsent(ctx, cut, err)}
+			return reply{result: unsent(ctx, sendBy, err)}
 		}
 		conn.head.next()
 		conn.left.N = mostAnswer
-		out := &sender{conn: conn}
+		out := &sender{conn: conn, until: until}
 		stop := context.AfterFunc(ctx, out.stop)
 		if a == nil || a.call.out.upload == nil {
 			out.limit(cut)
@@ -187,14 +224,14 @@
 			stop()
 			result := balance.Full
 			if !out.answered || !p.turnedAway(conn, req) {
-				result = unsent(ctx, cut, err)
+				result = unsent(ctx, sendBy, err)
 			}
 			p.discard(conn)
 			if errors.Is(err, errVoid) {
 				return reply{result: balance.Moot, void: true}
 			}
 			if kept && result != balance.Full && ctx.Err() == nil && errors.As(err, new(*net.OpError)) &&
-				time.Now().Before(cut) && (a == nil || a.call.out.upload == nil || !a.call.out.upload.spent()) {
+				time.Now().Before(sendBy) && (a == nil || a.call.out.upload == nil || !a.call.out.upload.spent()) {
 				continue // the server closed it while idle; nothing of the request has run
 			}
 			return reply{result: result}
@@ -230,6 +267,7 @@
 	answered bool          // it answered before the body was whole
 	look     *look         // nil: it was looked already, or no route has a say
 	expected int64         // what the head says that it counts under
+	until    time.Time     // by when the last byte has to be out; zero: by when the answer has
 
 	mu          sync.Mutex
 	stopped     bool
@@ -263,9 +301,20 @@
 	defer s.mu.Unlock()
 	if !s.stopped {
 		s.conn.SetDeadline(cut)
+		if !s.until.IsZero() && s.until.Before(cut) {
+			s.conn.SetWriteDeadline(s.until)
+		}
 	}
 }
 
+// due is the last look before the first byte.
+func (s *sender) due() error {
+	if !s.until.IsZero() && !time.Now().Before(s.until) {
+		return errMoot
+	}
+	return nil
+}
+
 // Write is for a body that is passed on: a server may be slow to read it, but must go on.
 func (s *sender) Write(p []byte) (int, error) {
 	s.mu.Lock()
@@ -273,7 +322,11 @@
 		s.mu.Unlock()
 		return 0, errMoot
 	}
-	s.conn.SetWriteDeadline(time.Now().Add(streamWait))
+	by := time.Now().Add(streamWait)
+	if !s.until.IsZero() && s.until.Before(by) {
+		by = s.until
+	}
+	s.conn.SetWriteDeadline(by)
 	s.mu.Unlock()
 	if s.look != nil {
 		if under, err := s.look.begin(); err != nil || under != s.expected {
@@ -306,6 +359,10 @@
 	}
 	if a != nil && a.call.out.upload != nil {
 		req.Header.Set("X-Timeout-Ms", strconv.FormatInt(a.call.wait.Milliseconds(), 10))
+		if err := s.due(); err != nil {
+			return false, err
+		}
+		a.call.out.begun = time.Now()
 		err := s.passOn(req, a.call.out.upload)
 		if err == nil {
 			a.sent.Store(true)
@@ -317,6 +374,12 @@
 	if err := render(&buf, req, a); err != nil {
 		return false, errMoot
 	}
+	if err := s.due(); err != nil {
+		return false, err
+	}
+	if a != nil {
+		a.call.out.begun = time.Now()
+	}
 	if s.look != nil { // the last look, right before the first byte
 		under, err := s.look.begin()
 		if err != nil {
