Look at a kept connection right before the first byte, not as it is taken

A kept connection was looked at (open, nothing to read) when an attempt took it. Until the first byte the attempt may wait for the lock on writing and renders the request. A second answer that arrived in between was served as the answer to the new request, which is a lost request; half a line made the answer unreadable; and a connection that its server closed in between ended an unsafe request as a reset, which may have run. What is left open is the moment between the look and the write, and a second answer that arrives after the first byte: HTTP/1.1 has nothing to tell it by.

To blame: upstreams.get, which asked quiet() too early.

The sender now asks as the last thing; what is unfit is closed and the request moves to the next connection, as nothing of it was written. The system call is the same one at another place, and new connections go without it as before.

--- a/internal/sidecar/attempt_test.go
+++ b/internal/sidecar/attempt_test.go
@@ -55,7 +55,7 @@
 	length -= text.Len() % size
 	length += more
 	a.call.wait = 9 * time.Second
-	a.call.out = &outbound{method: "POST", url: req.URL, host: "b", header: http.Header{}}
+	a.call.out = outboundPost(nil)
 	body := pattern(length)
 	a.call.out.upload = newUpload(int64(length), body[:size])
 	go a.call.out.upload.feed(bytes.NewReader(body[size:]))
@@ -91,11 +91,16 @@
 	}
 }
 
+// outboundPost is a request with a body, as servers get it.
+func outboundPost(body []byte) *outbound {
+	return &outbound{method: "POST", url: &url.URL{Path: "/api"}, host: "b", header: http.Header{}, body: body}
+}
+
 // keyedWindow makes an attempt one of a class whose key servers know for so long.
 func keyedWindow(p *upstreams, a *attempt, window time.Duration, body []byte) {
 	a.call.ev.Class = 1
 	p.windows[1] = window
-	a.call.out = &outbound{method: "POST", url: &url.URL{Path: "/api"}, host: "b", header: http.Header{}, body: body}
+	a.call.out = outboundPost(body)
 }
 
 // further gives the next attempt of a request.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -211,7 +211,7 @@
 		}
 		conn.head.next()
 		conn.left.N = mostAnswer
-		out := &sender{conn: conn, until: until}
+		out := &sender{conn: conn, kept: kept, until: until}
 		stop := context.AfterFunc(ctx, out.stop)
 		if a == nil || a.call.out.upload == nil {
 			out.limit(cut)
@@ -230,7 +230,8 @@
 			if errors.Is(err, errVoid) {
 				return reply{result: balance.Moot, void: true}
 			}
-			if kept && result != balance.Full && ctx.Err() == nil && errors.As(err, new(*net.OpError)) &&
+			unfit := err == errUnfit || errors.As(err, new(*net.OpError))
+			if kept && result != balance.Full && ctx.Err() == nil && unfit &&
 				time.Now().Before(sendBy) && (a == nil || a.call.out.upload == nil || !a.call.out.upload.spent()) {
 				continue // the server closed it while idle; nothing of the request has run
 			}
@@ -260,9 +261,13 @@
 // retired. It is checked last of all, as dialing takes time in which the list changes.
 var errMoot = errors.New("not to be sent any more")
 
+// errUnfit: a kept connection was closed by its server while it was idle, or holds bytes that answer nothing.
+var errUnfit = errors.New("the kept connection is closed or out of step")
+
 // sender writes a request to a connection, until it is stopped.
 type sender struct {
 	conn     *upConn
+	kept     bool          // the connection has carried requests before
 	peeked   chan struct{} // while a body is passed on: the server has begun to answer, or the connection is over
 	answered bool          // it answered before the body was whole
 	look     *look         // nil: it was looked already, or no route has a say
@@ -307,11 +312,14 @@
 	}
 }
 
-// due is the last look before the first byte.
+// due is the last look before the first byte. What a kept connection holds by now cannot answer this request.
 func (s *sender) due() error {
 	if !s.until.IsZero() && !time.Now().Before(s.until) {
 		return errMoot
 	}
+	if s.kept && !s.conn.quiet() {
+		return errUnfit
+	}
 	return nil
 }
 
@@ -686,8 +694,9 @@
 	return report
 }
 
-// get takes the newest kept connection that is still good, or dials. Dialing is bounded by the settings
-// and by the time that the request has left; the loop is told of it, unless it is for a probe.
+// get takes the newest kept connection, or dials. Whether a kept one is still good the sender asks right before it
+// writes. Dialing is bounded by the settings and by the time that the request has left; the loop is told of it, unless
+// it is for a probe.
 func (p *upstreams) get(ctx context.Context, up *upstream, cut time.Time, a *attempt) (*upConn, bool, error) {
 	if up.retired.Load() || !time.Now().Before(cut) {
 		return nil, false, errMoot
@@ -697,7 +706,7 @@
 		if conn == nil {
 			break
 		}
-		if time.Since(conn.since) < connIdle && conn.quiet() {
+		if time.Since(conn.since) < connIdle {
 			return conn, true, nil
 		}
 		p.discard(conn)
