Tell servers the time that is left of a body that has already come

The client's time counts from its last byte. A body that is passed on may have come whole (its rest waits to go out) while the attempt still connects, or while attempts before were turned away: the server was told all of the client's time, up to the whole time taken by dials and turns too much, attempts could begin after that time was over, and the module believed until the first attempt was written that the body was still coming and gave each further attempt the whole time anew.

To blame: sender.write, which told call.wait whenever there is an upload, and upstreams.send, which took no notice that a body had come.

What is told is now what is left since the last byte, measured under the lock on writing; where nothing is left nothing is sent; and the loop is told before such an attempt that the body is whole. No system call more. Not mended here: a whole body that no attempt takes is told to the loop only with its next attempt.

TestTimeLeftOfABodyThatHasCome: without the change the server is told 9000 ms where 5000 are left, and gets a request where none is; with it both are right.

--- a/internal/sidecar/attempt_test.go
+++ b/internal/sidecar/attempt_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -184,3 +185,68 @@
 		t.Error("the server got the whole request after the window")
 	}
 }
+
+// wholeUpload makes an attempt one of a body whose rest has come, all of it, and waits to go out.
+func wholeUpload(t *testing.T, a *attempt, wait time.Duration) {
+	t.Helper()
+	body := pattern(holdMost + 100)
+	a.call.wait = wait
+	a.call.out = outboundPost(nil)
+	u := newUpload(int64(len(body)), body[:holdMost])
+	a.call.out.upload = u
+	go u.put(body[holdMost:], io.EOF)
+	t.Cleanup(u.drop)
+	until(t, "the last byte", func() bool { return !u.whole().IsZero() })
+}
+
+// The last byte of a body that is passed on may come before the attempt has its connection: what the server is told is
+// what the client has left since then, and once that is over nothing is sent.
+func TestTimeLeftOfABodyThatHasCome(t *testing.T) {
+	const wait = 9 * time.Second
+	for name, test := range map[string]struct {
+		passed time.Duration // since the last byte, as the first byte is due
+		sent   bool
+	}{
+		"some": {4 * time.Second, true},
+		"none": {wait, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			told := make(chan string, 1)
+			b := newBackend(t, "a", func(c net.Conn, r *http.Request, body string) bool {
+				told <- r.Header.Get("X-Timeout-Ms")
+				return ok(c, r, body)
+			})
+			p, a, conn, _ := exchanging(t, b)
+			p.put(conn)
+			offered := make(chan any, 4)
+			p.offer = func(ev any) { offered <- ev }
+			wholeUpload(t, a, wait)
+			a.call.writing.Lock() // the attempt waits here
+			done := make(chan reply, 1)
+			go func() { done <- p.send(a) }()
+			until(t, "the connection to be taken", func() bool { return idleOf(p, a.up) == 0 })
+			u := a.call.out.upload
+			u.mu.Lock()
+			u.received = u.received.Add(-test.passed)
+			u.mu.Unlock()
+			a.call.writing.Unlock()
+			r := receive(t, "the end", done)
+			if n := len(offered); n != map[bool]int{true: 2, false: 1}[test.sent] {
+				t.Errorf("the loop is told %d times that the body is whole, want before the attempt and behind its last byte", n)
+			}
+			if !test.sent {
+				if r.result != balance.Moot || b.requests.Load() != 0 {
+					t.Errorf("result %v, %d requests at the server", r.result, b.requests.Load())
+				}
+				return
+			}
+			if r.result != balance.OK {
+				t.Fatalf("result %v", r.result)
+			}
+			most := (wait - test.passed).Milliseconds()
+			if ms, err := strconv.ParseInt(<-told, 10, 64); err != nil || ms > most || ms < 1 {
+				t.Errorf("the server is told %d ms, %v, and the client has at most %d", ms, err, most)
+			}
+		})
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -176,7 +176,13 @@
 	}
 	if u := c.out.upload; u != nil {
 		req.ContentLength = u.length
-		r := p.exchange(a.ctx, a.up, time.Now().Add(maxWait), req, a)
+		cut := time.Now().Add(maxWait)
+		if received := u.whole(); !received.IsZero() && !u.broken() {
+			// It came to its end while nobody took it, so nobody has told the loop.
+			cut = received.Add(c.wait)
+			p.offer(whole{c})
+		}
+		r := p.exchange(a.ctx, a.up, cut, req, a)
 		r.spent = u.spent()
 		return r
 	}
@@ -366,7 +372,10 @@
 		a.look.mark(req.Header, s.expected)
 	}
 	if a != nil && a.call.out.upload != nil {
-		req.Header.Set("X-Timeout-Ms", strconv.FormatInt(a.call.wait.Milliseconds(), 10))
+		if left = a.call.uploadLeft(); left <= 0 {
+			return false, errMoot
+		}
+		req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 		if err := s.due(); err != nil {
 			return false, err
 		}
@@ -409,6 +418,14 @@
 	return all, err
 }
 
+// uploadLeft is the time that the client of a body that is passed on has left: all of it until the last byte has come.
+func (c *call) uploadLeft() time.Duration {
+	if received := c.out.upload.whole(); !received.IsZero() {
+		return time.Until(received.Add(c.wait))
+	}
+	return c.wait
+}
+
 // render gives the text of a request whose body is held whole.
 func render(buf *bytes.Buffer, req *http.Request, a *attempt) error {
 	req.Body = http.NoBody
