Drop the pool's hold on connections that left it; count them in a test

The list of a server's idle connections kept those that were taken or closed in the places behind its end, with their buffers (8 KB and more each), until as many were idle again or the server was retired: after a burst that memory stayed. Found by the new counting test, which was written to rule out that the number of open connections drifts; that it does not.

To blame: upstreams.takeIdle and closeOldest. The places are now cleared.

Also new, and passing before: an answer of interim heads without end is a failure, and the head of a body that is passed on does not wait for the body.

--- a/internal/sidecar/attempt_test.go
+++ b/internal/sidecar/attempt_test.go
@@ -250,3 +250,33 @@
 		})
 	}
 }
+
+// The last checks of an attempt are those of its first byte, which goes out at once: a client that is slow with the
+// rest of its body does not hold it back until they have become wrong.
+func TestFirstByteDoesNotWaitForTheBody(t *testing.T) {
+	heads := make(chan struct{})
+	at := rawBackend(t, "a", func(c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			close(heads)
+		}
+		io.Copy(io.Discard, in)
+	})
+	b := newBackend(t, "b", ok)
+	b.target = at
+	p, a, conn, _ := exchanging(t, b)
+	p.put(conn)
+	a.call.wait = patience
+	a.call.out = outboundPost(nil)
+	a.call.out.upload = newUpload(maxBody, pattern(holdLeast)) // no more of it comes
+	done := make(chan reply, 1)
+	go func() { done <- p.send(a) }()
+	select {
+	case <-heads:
+	case <-time.After(patience / 2):
+		t.Error("the server got no head")
+	}
+	a.cancel()
+	if r := receive(t, "the end", done); r.result != balance.Moot {
+		t.Errorf("result %v", r.result)
+	}
+}
--- a/internal/sidecar/pool_test.go
+++ b/internal/sidecar/pool_test.go
@@ -1,10 +1,16 @@
 package sidecar
 
 import (
+	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"marblelane/balance"
 )
@@ -69,3 +75,107 @@
 	defer p.mu.Unlock()
 	return p.open
 }
+
+// checkPool compares what is counted with what is there, while no attempt is out.
+func checkPool(t *testing.T, p *upstreams, ups []*upstream) {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := 0
+	for i, up := range ups {
+		idle += len(up.idle)
+		if _, kept := p.kept[up]; kept != (len(up.idle) > 0) {
+			t.Errorf("server %d has %d idle connections, and kept says %v", i, len(up.idle), kept)
+		}
+		if up.dialing != 0 || len(up.waiting) != 0 {
+			t.Errorf("server %d: %d dials, %d waiting", i, up.dialing, len(up.waiting))
+		}
+		if up.retired.Load() && len(up.idle) > 0 {
+			t.Errorf("retired server %d keeps %d connections", i, len(up.idle))
+		}
+		for _, conn := range up.idle[len(up.idle):cap(up.idle)] {
+			if conn != nil {
+				t.Errorf("server %d holds a connection that is not its own any more", i)
+				break
+			}
+		}
+	}
+	if p.open != idle || p.open > p.most {
+		t.Errorf("%d connections are counted of at most %d, %d are there", p.open, p.most, idle)
+	}
+}
+
+// Whatever attempts, dials, retirements and bounds do beside each other: connections are counted as long as they are
+// open, and no longer.
+func TestConnectionsAreCounted(t *testing.T) {
+	cfg, err := newConf("127.0.0.1:1").load(t)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			p := newUpstreams(cfg, 12)
+			t.Cleanup(p.closeAll)
+			p.connectWait = 2 * time.Millisecond // so that some connections are late
+			refusing := newBackend(t, "r", ok)
+			refusing.Close()
+			servers := []target{refusing.target}
+			for range 3 {
+				servers = append(servers, newBackend(t, "s", ok).target)
+			}
+			// Those of the other paths: turned away, broken, and with a second answer.
+			servers = append(servers, newBackend(t, "f", respond("HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", true)).target)
+			servers = append(servers, newBackend(t, "b", respond("HTTP/1.1 200 OK\r\nConte", false)).target)
+			servers = append(servers, newBackend(t, "d", respond(strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", 2), true)).target)
+			var ups []*upstream
+			for _, server := range servers {
+				ups = append(ups, &upstream{endpoint: server.Endpoint})
+			}
+			var attempts sync.WaitGroup
+			for worker := range uint64(8) {
+				attempts.Go(func() {
+					random := rand.New(rand.NewPCG(seed, worker))
+					for range 60 {
+						useConnections(p, ups[random.IntN(len(ups))], random)
+					}
+				})
+			}
+			attempts.Wait()
+			p.dialers.Wait()
+			p.setMost(12)
+			checkPool(t, p, ups)
+			for i, up := range ups {
+				if i%2 == 0 {
+					p.retire(up)
+				}
+			}
+			checkPool(t, p, ups)
+			p.closeAll()
+			if n := openOf(p); n != 0 || len(p.kept) != 0 {
+				t.Errorf("at the end %d connections are counted, those of %d servers kept", n, len(p.kept))
+			}
+		})
+	}
+}
+
+// useConnections does one of what happens to connections.
+func useConnections(p *upstreams, up *upstream, random *rand.Rand) {
+	switch random.IntN(12) {
+	case 0:
+		p.closeIdle(up)
+	case 1:
+		p.reap(time.Now().Add(time.Duration(random.IntN(20)) * time.Second))
+	case 2:
+		p.setMost(4 + random.IntN(9))
+	case 3: // given up at any time
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(random.IntN(2000))*time.Microsecond)
+		p.probe(ctx, up)
+		cancel()
+	case 4: // its time is over at any time
+		a := &attempt{call: &call{out: outboundPost([]byte("plate 12-34"))}, up: up}
+		a.ctx, a.cut = context.Background(), time.Now().Add(time.Duration(random.IntN(2000))*time.Microsecond)
+		p.send(a)
+	default:
+		p.probe(context.Background(), up)
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -918,7 +918,7 @@
 		return nil
 	}
 	conn := up.idle[n-1]
-	up.idle = up.idle[:n-1]
+	up.idle = slices.Delete(up.idle, n-1, n) // which clears the place: it would hold the connection's buffers
 	if n == 1 {
 		delete(p.kept, up)
 	}
@@ -972,7 +972,7 @@
 		conn.Close()
 	}
 	p.open -= n
-	up.idle = append(up.idle[:0], up.idle[n:]...)
+	up.idle = slices.Delete(up.idle, 0, n)
 	if len(up.idle) == 0 {
 		delete(p.kept, up)
 	}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -80,6 +80,7 @@
 		"no framing, no body":   {"HTTP/1.1 200 OK\r\n\r\n", statusFailed},
 		"no framing":            {"HTTP/1.1 200\r\n\r\ndone", 200},
 		"headers without end":   {"HTTP/1.1 200 OK\r\n" + strings.Repeat("X-More: of the same\r\n", 20000) + "Content-Length: 4\r\n\r\ndone", statusFailed},
+		"hints without end":     {strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", 20000), statusFailed},
 		"not HTTP":              {"hello\r\n\r\n", statusFailed},
 		"whole":                 {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", 200},
 		"whole after a hint":    {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", 200},
