Hold a lowered bound on connections also for those that were at work

While a newer process serves beside it, each process keeps to half of the connections. setMost closed idle ones over the bound only; those at work at that moment came back and were kept. From then on each new connection took the place of one idle one, so under load the count never came down to the bound, and the two processes together held up to half as many descriptors again as they may.

To blame: upstreams.keep, which did not look at the bound.

A connection that comes back over the bound is closed. TestLowerBoundHoldsForConnectionsAtWork: without the change 2 are counted and idle at a bound of 1, with it 1.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -814,7 +814,8 @@
 
 // keep holds an idle connection; the caller holds the lock.
 func (p *upstreams) keep(conn *upConn) {
-	if conn.up.retired.Load() || p.dials.Err() != nil { // retire or closeAll has closed the idle ones
+	closed := conn.up.retired.Load() || p.dials.Err() != nil // retire or closeAll has closed the idle ones
+	if closed || p.open > p.most {                           // or setMost has, while this one was at work
 		conn.Close()
 		p.open--
 		return
