Give an idle time below zero a place in the figures of losses

The logarithm of a negative time is no number, its index ended the process. To blame: ageStep.

TestAgeSteps: without the change the steps of negative times are no index (the least integer), with it they are 0.

--- a/internal/sidecar/idle.go
+++ b/internal/sidecar/idle.go
@@ -23,6 +23,9 @@
 }
 
 func ageStep(idle time.Duration) int {
+	if idle <= 0 { // of a negative time there is no logarithm, and no index
+		return 0
+	}
 	return int(min(max(2*math.Log2(float64(idle)/float64(time.Millisecond))+1, 0), ageSteps-1))
 }
 
--- a/internal/sidecar/idle_test.go
+++ b/internal/sidecar/idle_test.go
@@ -68,3 +68,17 @@
 		t.Errorf("%v: not forgotten", got)
 	}
 }
+
+// The figures of any age have a place, also where a clock has gone back.
+func TestAgeSteps(t *testing.T) {
+	for _, test := range []struct {
+		idle time.Duration
+		want int
+	}{
+		{-time.Hour, 0}, {-1, 0}, {0, 0}, {1, 0}, {time.Millisecond, 1}, {2 * time.Millisecond, 3}, {1000 * time.Hour, ageSteps - 1},
+	} {
+		if got := ageStep(test.idle); got != test.want {
+			t.Errorf("%v: step %d, want %d", test.idle, got, test.want)
+		}
+	}
+}
