Let a connection rest behind an answer where another one is idle

A second answer that comes some milliseconds late, when the next request has been written to its connection, is served as the answer to that request; HTTP/1.1 has nothing to tell the two apart by, and the look right before the first byte comes too early for it. The pool made this likely: it gave out the connection that had carried an answer last.

To blame: upstreams.takeIdle.

The newest connection that has rested for 10 ms is taken, and where none has, the one that has rested longest. No connection more is opened for this, no request waits, and no system call is made. So the window is narrower, not closed: a server's only idle connection is used at once.

TestConnectionRestsBehindAnAnswer has a server that sends its answer once more behind the next request: without the change "first" is served to the second request, with it "second". TestOrderOfIdleConnections: three of five orders differ without it. What it does to a whole fleet (reuse, ages of idle connections) is not measured here.

--- a/internal/sidecar/pool_test.go
+++ b/internal/sidecar/pool_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -194,3 +195,71 @@
 		t.Errorf("%d connections are counted and %d idle, want 1", n, idleOf(p, a.up))
 	}
 }
+
+// lateSecondAnswers is a server whose connections carry the answer before once more, behind the next request and ahead
+// of its answer.
+func lateSecondAnswers() serveOne {
+	var mu sync.Mutex
+	before := map[net.Conn]string{}
+	return func(c net.Conn, _ *http.Request, body string) bool {
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		mu.Lock()
+		late := before[c]
+		before[c] = answer
+		mu.Unlock()
+		_, err := io.WriteString(c, late+answer)
+		return err == nil
+	}
+}
+
+// A second answer may come some milliseconds late, behind the next request: that goes over a connection that has
+// rested, where there is one.
+func TestConnectionRestsBehindAnAnswer(t *testing.T) {
+	b := newBackend(t, "a", lateSecondAnswers())
+	p, a, rested, _ := exchanging(t, b)
+	a.call.out = outboundPost([]byte("first"))
+	if r := p.send(a); r.result != balance.OK { // over a connection of its own
+		t.Fatalf("the first request: result %v", r.result)
+	}
+	p.put(rested)
+	p.mu.Lock()
+	slices.Reverse(a.up.idle) // as if it had been put before
+	a.up.idle[0].since = time.Now().Add(-time.Second)
+	a.up.idle[1].since = time.Now().Add(patience) // however slow this machine is: it has just been put
+	p.mu.Unlock()
+	next := further(a)
+	next.call.out = outboundPost([]byte("second"))
+	if r := p.send(next); r.result != balance.OK || string(r.answer.body) != "second" {
+		t.Errorf("result %v with %q, want the answer to this request", r.result, r.answer.body)
+	}
+}
+
+// Which of the idle connections is taken.
+func TestOrderOfIdleConnections(t *testing.T) {
+	now := time.Now()
+	for name, test := range map[string]struct {
+		ages []time.Duration // oldest first
+		want int
+	}{
+		"all have rested":  {[]time.Duration{3 * time.Second, 2 * time.Second, time.Second}, 2},
+		"one has not":      {[]time.Duration{3 * time.Second, 2 * time.Second, -time.Hour}, 1},
+		"none has":         {[]time.Duration{-time.Hour, -2 * time.Hour}, 0},
+		"a single one":     {[]time.Duration{-time.Hour}, 0},
+		"only the longest": {[]time.Duration{time.Second, -time.Hour, -2 * time.Hour}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			up := &upstream{}
+			p := &upstreams{kept: map[*upstream]struct{}{up: {}}}
+			for _, age := range test.ages {
+				up.idle = append(up.idle, &upConn{since: now.Add(-age)})
+			}
+			all := slices.Clone(up.idle)
+			if got := slices.Index(all, p.takeIdle(up)); got != test.want {
+				t.Errorf("took number %d, want %d", got, test.want)
+			}
+			if _, kept := p.kept[up]; kept != (len(all) > 1) || len(up.idle) != len(all)-1 {
+				t.Errorf("%d are left, kept %v", len(up.idle), kept)
+			}
+		})
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -37,6 +37,9 @@
 	// kept for who comes next.
 	lateConnect = time.Second
 	probeWait   = 250 * time.Millisecond
+	// restTime is for how long a connection that has just carried an answer is left alone where others are idle: a
+	// second answer may come some milliseconds late (STANDING), and nothing tells it from that to the next request.
+	restTime = 10 * time.Millisecond
 )
 
 var (
@@ -711,7 +714,7 @@
 	return report
 }
 
-// get takes the newest kept connection, or dials. Whether a kept one is still good the sender asks right before it
+// get takes a kept connection, or dials. Whether a kept one is still good the sender asks right before it
 // writes. Dialing is bounded by the settings and by the time that the request has left; the loop is told of it, unless
 // it is for a probe.
 func (p *upstreams) get(ctx context.Context, up *upstream, cut time.Time, a *attempt) (*upConn, bool, error) {
@@ -911,16 +914,21 @@
 	return open, unread
 }
 
+// takeIdle takes the newest connection that has rested, or the one that has rested longest; nil: there is none.
 func (p *upstreams) takeIdle(up *upstream) *upConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(up.idle)
-	if n == 0 {
+	if len(up.idle) == 0 {
 		return nil
 	}
-	conn := up.idle[n-1]
-	up.idle = slices.Delete(up.idle, n-1, n) // which clears the place: it would hold the connection's buffers
-	if n == 1 {
+	rested := time.Now().Add(-restTime)
+	newest := len(up.idle) - 1
+	for newest > 0 && up.idle[newest].since.After(rested) {
+		newest--
+	}
+	conn := up.idle[newest]
+	up.idle = slices.Delete(up.idle, newest, newest+1) // which clears the last place: it would hold its buffers
+	if len(up.idle) == 0 {
 		delete(p.kept, up)
 	}
 	return conn
