Call the new discovery address at once when SIGHUP comes in a pause

Symptom: where lists are asked for, a SIGHUP that comes between a failed call and the module's next one changed the addresses and nothing else. The next call waited for the rest of the pause, up to three times ask_within_ms (30 s for 10 s), while what discovery has counts as told 4 s after the signal. docs/list.md names 0 s there.

Looked at and ruled out: a move during a call (read ends it with errMoved and follow goes on at once), a move between follow's loop and read's lock (read takes address and context under one lock), a move in the pause of pushed lists (that is one lag, 1 s at most). To blame: discovery.watch, whose goroutine ended with its first failure, so that move had nobody to wake.

Change: the goroutine of a watch waits for its replacement or for a move, and on a move calls the new address. It reports one failure only: the module's timer of that failure is still to come, and a second report would set a second one.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -187,15 +187,26 @@
 	return n
 }
 
-// watch follows changes at a list service, in place of the watch before.
+// watch follows changes at a list service, in place of the watch before. Its failure is reported once. The module then
+// pauses before it asks for the next watch; a pause is for the address that failed, so if discovery moves meanwhile the
+// new address is called at once, until the module's own next watch takes over.
 func (d *discovery) watch(ctx context.Context, source int) {
 	d.stop()
 	ctx, d.stop = context.WithCancel(ctx)
 	d.start(func() {
-		err := d.follow(ctx, source)
-		if ctx.Err() == nil {
+		for reported := false; ctx.Err() == nil; reported = true {
+			here, err := d.follow(ctx, source)
+			if ctx.Err() != nil {
+				return
+			}
 			slog.Warn("discovery: watch ended", "service", source, "error", err)
-			d.post(failed(news{source: source}, err))
+			if !reported {
+				d.post(failed(news{source: source}, err))
+			}
+			select {
+			case <-ctx.Done():
+			case <-here.Done():
+			}
 		}
 	})
 }
@@ -273,11 +284,16 @@
 // alone is the claim of a call that has no other beside it.
 func alone() bool { return true }
 
-func (d *discovery) follow(ctx context.Context, source int) error {
+// follow keeps one watch over any number of moves. It gives the context of the address that failed; if discovery moves
+// just before the call, that of the address before, and the new one is called once more.
+func (d *discovery) follow(ctx context.Context, source int) (context.Context, error) {
 	for {
+		d.mu.Lock()
+		here := d.here
+		d.mu.Unlock()
 		err := d.read(ctx, d.changes(), news{source: source}, alone, d.callWait, d.silence)
 		if err != errMoved || ctx.Err() != nil {
-			return err
+			return here, err
 		}
 	}
 }
