Hear out an answer of the agent that comes in small pieces

Looked at and ruled out: the head alone (the transport waits for all of it, so it did not count as a sign of life either), a claim at the first byte (an agent that stops in the middle of a line would then hold the watch for 5 s). To blame: the one timer in discovery.read, which only whole objects pushed back.

Change: until the first object is whole, any bytes of head or body push the end of a silent call back, within callWait in all; one that stops in the middle is given up as soon as one that never began. After the first object nothing changes.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -142,7 +142,7 @@
 		// No kept connections: on a broken one the transport would call a second time by itself.
 		client: &http.Client{Transport: &http.Transport{
 			DisableKeepAlives: true, DisableCompression: true,
-			DialContext: (&net.Dialer{Timeout: dialWait, KeepAlive: -1}).DialContext,
+			DialContext: dialReporting((&net.Dialer{Timeout: dialWait, KeepAlive: -1}).DialContext),
 		}},
 	}
 	if memoryMB > 0 {
@@ -298,8 +298,8 @@
 	}
 }
 
-// read hands on each object of an answer until it ends, as news of the call's own form, once the claim is granted. The
-// first may take as long as the call waits in turn.
+// read hands on each object of an answer until it ends, as news of the call's own form, once the claim is granted. Until
+// the first one is whole, the call ends when no byte comes for as long as first says, or after callWait.
 func (d *discovery) read(ctx context.Context, query string, form news, claim func() bool, first, next time.Duration) error {
 	d.mu.Lock()
 	url, here := "http://"+d.addrs[min(form.source, len(d.addrs)-1)]+"/registry/instances"+query, d.here
@@ -307,9 +307,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(here, func() { cancel(context.Cause(here)) })()
-	guard := time.AfterFunc(first, func() { cancel(errSilent) })
-	defer guard.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	silent := newSilenceGuard(first, max(first, d.callWait), func() { cancel(errSilent) })
+	defer silent.stop()
+	req, err := http.NewRequestWithContext(context.WithValue(ctx, receivedKey{}, silent.received), http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
@@ -365,7 +365,73 @@
 			return err
 		}
 		told = true
-		guard.Reset(next)
+		silent.told(next)
+	}
+}
+
+// silenceGuard ends a call that falls silent. Any bytes, of the head too, are a sign of life until the first object is
+// whole, as an answer may come in small pieces; afterwards only whole objects and empty lines between them are.
+type silenceGuard struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	quiet time.Duration // before the first object is whole
+	end   time.Time     // when it has to be whole
+	whole bool
+}
+
+func newSilenceGuard(quiet, most time.Duration, fire func()) *silenceGuard {
+	return &silenceGuard{timer: time.AfterFunc(quiet, fire), quiet: quiet, end: time.Now().Add(most)}
+}
+
+func (g *silenceGuard) received() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.whole {
+		g.timer.Reset(min(g.quiet, time.Until(g.end)))
+	}
+}
+
+// told notes an object or an empty line; the next one has to come in time.
+func (g *silenceGuard) told(next time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.whole = true
+	g.timer.Reset(next)
+}
+
+func (g *silenceGuard) stop() { g.timer.Stop() }
+
+// receivedKey is the key of a request's context under which stands what to call when bytes come.
+type receivedKey struct{}
+
+// reportingConn reports that bytes have come.
+type reportingConn struct {
+	net.Conn
+	received func()
+}
+
+func (c reportingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.received()
+	}
+	return n, err
+}
+
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// dialReporting makes connections tell the request that they are made for of each read. Without kept connections one
+// connection serves one request.
+func dialReporting(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		if received, ok := ctx.Value(receivedKey{}).(func()); ok {
+			return reportingConn{conn, received}, nil
+		}
+		return conn, nil
 	}
 }
 
