Call discovery again soon after a call that stayed silent

Symptom: where lists are asked for, a call that is accepted and never answered is given up after 5 s, and in a row of such calls the next one came after up to three times ask_within_ms more (30 s for 10 s).

Looked at and ruled out: a shorter callWait (calls may wait in turn that long), a second call beside the first (doubles what a service with many callers gets). To blame: failed() reports errSilent as a busy service, for which the module's pauses grow by four.

Change: the sidecar tells the module to come again within 0.5 s after such a call, as the 5 s of the call itself kept it away; 5.5 s from one call's start to the next at most. It stays marked as busy.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -29,11 +29,16 @@
 	silence = 4 * time.Second
 	// A call waits in turn at discovery, which ends those that waited too long; this is for one that is
 	// cut off.
-	callWait  = 5 * time.Second
-	dialWait  = time.Second
-	mostLine  = 16 << 20
-	leastLine = 1 << 20
-	lineShare = 1. / 16 // of the memory, that a line may take: it is held, and read into entries
+	callWait = 5 * time.Second
+	dialWait = time.Second
+	// A change counts as told this long after discovery had it and could be reached, whatever failed before (STANDING).
+	toldWithin = 6 * time.Second
+	// silentPause follows a call that was given up after callWait: the call was most of the time there is, as it may have
+	// begun just before discovery's return.
+	silentPause = 500 * time.Millisecond
+	mostLine    = 16 << 20
+	leastLine   = 1 << 20
+	lineShare   = 1. / 16 // of the memory, that a line may take: it is held, and read into entries
 	// Where lists are pushed, whatever the agent holds counts as told at once: in lagParts of the drain grace
 	// a call that nobody answers is given up. From the agent's return to the next call it is three at most.
 	lagParts = 5
@@ -183,7 +188,9 @@
 	if errors.As(err, &turned) {
 		n.busy, n.wait = true, turned.wait
 	}
-	n.busy = n.busy || errors.Is(err, errSilent)
+	if errors.Is(err, errSilent) {
+		n.busy, n.wait = true, float64(silentPause.Milliseconds())/2 // the module waits for once to twice as long
+	}
 	return n
 }
 
--- /dev/null
+++ b/internal/sidecar/watch_sums_test.go
@@ -0,0 +1,69 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"marblelane/balance"
+)
+
+// This file adds up, from the constants and from the module's own pauses, the latest moment at which a change is known by
+// each way to it and holds it under the moment at which the change counts as told. docs/list.md has the table. What an
+// answer takes is not in it: the agent's takes milliseconds, and a call that waits in turn has 2 s beyond its wait.
+
+// rowOfFailures is more calls in a row than pauses grow over.
+const rowOfFailures = 12
+
+// worstPause gives the longest pause that the real module makes in a row of such failures, as the sidecar reports them.
+func worstPause(t *testing.T, settings string, row int, err error) time.Duration {
+	t.Helper()
+	c := newConf("127.0.0.1:1").setting(`"ask_within_ms": 10000, `, settings)
+	cfg, bad := c.load(t)
+	if bad != nil {
+		t.Fatal(bad)
+	}
+	worst := 0.0
+	for seed := range uint64(50) { // pauses are jittered
+		cfg.balance.Seed = seed
+		bal, bad := balance.New(cfg.balance)
+		if bad != nil {
+			t.Fatal(bad)
+		}
+		now := 1000.0
+		bal.Start(now)
+		for range row {
+			n := failed(news{}, err)
+			actions, bad := bal.Handle(now, balance.ServerList{Kind: n.kind, Busy: n.busy, Wait: n.wait})
+			if bad != nil || len(actions) != 1 || actions[0].Kind != balance.SetTimer {
+				t.Fatalf("%+v, %v", actions, bad)
+			}
+			worst = max(worst, actions[0].At)
+			now += actions[0].At
+			if _, bad := bal.Handle(now, balance.Timer{Token: actions[0].Token}); bad != nil {
+				t.Fatal(bad)
+			}
+		}
+	}
+	return millis(worst)
+}
+
+// A call that is accepted and never answered may have begun just before discovery's return, or at the new address just
+// after SIGHUP. The next one begins in time, however many stayed silent before.
+func TestCallsAreMadeAnewAfterSilentOnes(t *testing.T) {
+	const (
+		afterSignal = 4 * time.Second // TERMS
+		afterWait   = 2 * time.Second // STANDING: beyond the wait of a call that may wait
+	)
+	for _, settings := range []string{`"ask_within_ms": 10000, `, `"ask_within_ms": 600000, `, ``} {
+		again := callWait + worstPause(t, settings, rowOfFailures, errSilent)
+		if again >= toldWithin {
+			t.Errorf("%q: the next call begins %v after one that stayed silent, and a change counts as told after %v", settings, again, toldWithin)
+		}
+		if late := max(afterSignal, callWait+afterWait); again >= late {
+			t.Errorf("%q: after SIGHUP it begins after %v, and what is there counts as told after %v", settings, again, late)
+		}
+		if late := silence + worstPause(t, settings, 1, errStopped) + again; late >= silence+silentPause+callWait+afterWait {
+			t.Errorf("%q: what a silent watch missed is asked for twice in %v", settings, late)
+		}
+	}
+}
