Bound every pause after a failed list call, so that a change is known within 6 s

Symptom: where lists are asked for, the pause after calls that fail grows to a third of ask_within_ms (8 s where that is long or absent), after calls that are turned away to three times ask_within_ms (30 s for 10 s), and Retry-After was followed up to the same. To blame: askAgain in balance/list.go, which knew ask_within_ms only.

Change: Config.LongestPause, which the sidecar sets to what 6 s leave beside a connection that does not come up at first and half a second for the call (4.5 s).

Measured: TestAskedListsAreKnownInTime adds the constants and the real module's pauses by each way and five values of ask_within_ms: all under 6 s; without the bound 30.95 s (turned away), 7.99 s (refused, ask_within_ms 600000 or absent), 8.99 s (never comes up). TestLongestPauseBoundsEveryPause fails without the change to list.go and passes with it.

--- a/balance/api.go
+++ b/balance/api.go
@@ -103,6 +103,7 @@
 	FallMultiple float64 // a cold server sent more than this multiple of its capacity ...
 	FallTime     float64 // ... for this long falls over
 	AskWithin    float64 // without a subscription the list must be asked for this often
+	LongestPause float64 // ms at most between a failed list call and the next; 0: AskWithin alone bounds it
 
 	// Lists is how many list services can be asked, in order of preference; 0 and 1: one, which is taken at its word.
 	Lists       int
--- a/balance/list.go
+++ b/balance/list.go
@@ -156,11 +156,10 @@
 	return false
 }
 
-// askAgain calls the next service after a growing, jittered pause: where there are several, each is tried
-// before the pause grows. A service that is there and turns calls away has too many: what it spends on those
-// that fail in turn is lost for all. With pauses up to a third of AskWithin 36 sidecars kept one full for
-// good; after a failed call the rules allow four times AskWithin, one of which is left for the call. Where
-// nobody is there, calls cost nobody anything.
+// askAgain calls the next service after a growing, jittered pause; of several each is tried before it grows.
+// One that turns calls away has too many, and what it spends on calls that fail in turn is lost for all:
+// pauses grow to three of the four times AskWithin that the rules allow then. If nobody is there calls are
+// free. Config.LongestPause bounds all: on sockets a change soon counts as told, whatever call has failed.
 func (b *Balancer) askAgain(ev *ServerList) {
 	lists := max(b.cfg.Lists, 1)
 	round := b.list.asks / lists
@@ -171,8 +170,10 @@
 	if ev.Wait > 0 { // it says itself when
 		pause = 2 * ev.Wait
 	}
-	if most > 0 {
-		pause = math.Min(pause, most)
+	for _, bound := range []float64{most, b.cfg.LongestPause} {
+		if bound > 0 {
+			pause = math.Min(pause, bound)
+		}
 	}
 	b.list.asks++
 	b.list.source = (b.list.source + 1) % lists
--- a/balance/list_test.go
+++ b/balance/list_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 
@@ -435,3 +436,27 @@
 		t.Fatal("a stuck watch is not left")
 	}
 }
+
+// LongestPause bounds each pause, whatever AskWithin allows and the service says.
+func TestLongestPauseBoundsEveryPause(t *testing.T) {
+	for _, askWithin := range []float64{0, 10000, 600000} {
+		cfg := baseConfig()
+		cfg.Subscribe, cfg.AskWithin, cfg.LongestPause = true, askWithin, 4500
+		for name, failure := range map[string]ServerList{
+			"nobody there": {Kind: ListFailed}, "turned away": {Kind: ListFailed, Busy: true},
+			"told to come in an hour": {Kind: ListFailed, Busy: true, Wait: 3.6e6},
+		} {
+			g := newRig(t, cfg, fleet(3)...)
+			longest := 0.0
+			for range 40 {
+				at := find(g.do(failure), SetTimer).At
+				longest = math.Max(longest, at)
+				g.now += at
+				g.timer(listTimer)
+			}
+			if longest > cfg.LongestPause || longest < cfg.LongestPause/2 && (askWithin != 10000 || failure.Busy) {
+				t.Errorf("%s, AskWithin %v: the longest of 40 pauses is %v ms", name, askWithin, longest)
+			}
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -230,7 +230,7 @@
 		{"Quantum", c.Quantum}, {"MaxAttempts", float64(c.MaxAttempts)}, {"MaxRetryAfter", c.MaxRetryAfter},
 		{"ConnectTimeout", c.ConnectTimeout}, {"DrainGrace", c.DrainGrace}, {"ColdFrom", c.ColdFrom},
 		{"ColdTime", c.ColdTime}, {"FallMultiple", c.FallMultiple}, {"FallTime", c.FallTime},
-		{"AskWithin", c.AskWithin}, {"DoubtShare", c.DoubtShare}, {"StaleAfter", c.StaleAfter},
+		{"AskWithin", c.AskWithin}, {"LongestPause", c.LongestPause}, {"DoubtShare", c.DoubtShare}, {"StaleAfter", c.StaleAfter},
 		{"Lists", float64(c.Lists)}, {"AnswerSlack", c.AnswerSlack}, {"OverShareWorth", c.OverShareWorth},
 		{"Goal.Whole", c.Goal.Whole}, {"Goal.WorstWindow", c.Goal.WorstWindow},
 		{"Goal.WorstClass", c.Goal.WorstClass}, {"Goal.WorstTenant", c.Goal.WorstTenant},
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -183,6 +183,7 @@
 		}
 	}
 	cfg.balance.Lists, cfg.balance.DoubtShare, cfg.balance.StaleAfter = len(cfg.Lists), f.DoubtShare, f.StaleMS
+	cfg.balance.LongestPause = float64(longestPause.Milliseconds())
 	cfg.balance.Subscribe = cfg.balance.Subscribe || len(cfg.Lists) > 0 // the module decides which one is called
 	if !(f.DoubtShare >= 0 && f.DoubtShare <= 1) {
 		return nil, fmt.Errorf("list_doubt_share: %v is not between 0 and 1", f.DoubtShare)
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -33,6 +33,8 @@
 	dialWait = time.Second
 	// A change counts as told this long after discovery had it and could be reached, whatever failed before (STANDING).
 	toldWithin = 6 * time.Second
+	// longestPause leaves time for the call after a pause, whose connection may not come up at first.
+	longestPause = toldWithin - dialWait - 500*time.Millisecond
 	// silentPause follows a call that was given up after callWait: the call was most of the time there is, as it may have
 	// begun just before discovery's return.
 	silentPause = 500 * time.Millisecond
--- a/internal/sidecar/watch_sums_test.go
+++ b/internal/sidecar/watch_sums_test.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -47,6 +49,37 @@
 	return millis(worst)
 }
 
+// Where lists are asked for, each way from the moment at which discovery could be reached to the next call is shorter
+// than the time after which a change counts as told, whatever the settings say of pauses.
+func TestAskedListsAreKnownInTime(t *testing.T) {
+	away := &turnedAway{status: "503"}
+	hold := &turnedAway{status: "429", wait: time.Hour.Seconds() * 1000}
+	for name, settings := range map[string]string{
+		"as on the sites":    `"ask_within_ms": 10000, `,
+		"asked seldom":       `"ask_within_ms": 600000, `,
+		"asked often":        `"ask_within_ms": 300, `,
+		"no word on that":    ``,
+		"asked never at all": `"ask_within_ms": 0, `,
+	} {
+		t.Run(name, func(t *testing.T) {
+			pause := func(row int, err error) time.Duration { return worstPause(t, settings, row, err) }
+			for way, sum := range map[string]time.Duration{
+				"a watch is reset":                  pause(1, http.ErrServerClosed),
+				"a watch falls silent":              silence + pause(1, errStopped),
+				"connections are refused":           pause(rowOfFailures, http.ErrServerClosed),
+				"connections never come up":         dialWait + pause(rowOfFailures, http.ErrServerClosed),
+				"calls are turned away":             dialWait + pause(rowOfFailures, away),
+				"calls are turned away for an hour": dialWait + pause(rowOfFailures, hold),
+				"calls end at once":                 dialWait + pause(rowOfFailures, io.ErrUnexpectedEOF),
+			} {
+				if sum >= toldWithin {
+					t.Errorf("%s: the next call begins %v after discovery could be reached, and the change counts as told after %v", way, sum, toldWithin)
+				}
+			}
+		})
+	}
+}
+
 // A call that is accepted and never answered may have begun just before discovery's return, or at the new address just
 // after SIGHUP. The next one begins in time, however many stayed silent before.
 func TestCallsAreMadeAnewAfterSilentOnes(t *testing.T) {
