--- a/cmd/marblelane/lab.go
+++ b/cmd/marblelane/lab.go
@@ -495,6 +495,7 @@
 	Capacity []float64     `help:"Lines a second that the service tells." default:"200,1000,4000"`
 	Patience time.Duration `help:"How long a call may wait in turn." default:"2s"`
 	Length   time.Duration `help:"How long the run is." default:"60s"`
+	Pause    time.Duration `help:"Longest pause after a failed call; 0: by ask_within_ms alone." default:"4500ms"`
 	Seed     uint64        `help:"Seed of the sidecars." default:"1"`
 	JSON     bool          `help:"Print JSON in place of the table." name:"json"`
 }
@@ -514,7 +515,7 @@
 		for _, capacity := range c.Capacity {
 			for _, waste := range []bool{false, true} {
 				r, err := crowd.Run(crowd.Spec{Callers: n, Servers: c.Servers, Capacity: capacity, Patience: ms(c.Patience), Spread: 100,
-					Length: ms(c.Length), AskWithin: 10000, Waste: waste, Seed: c.Seed})
+					Length: ms(c.Length), AskWithin: 10000, LongestPause: ms(c.Pause), Waste: waste, Seed: c.Seed})
 				if err != nil {
 					return err
 				}
--- a/internal/lab/crowd/crowd.go
+++ b/internal/lab/crowd/crowd.go
@@ -25,8 +25,10 @@
 	Spread    float64 // within which all sidecars start
 	Length    float64
 	AskWithin float64 // the settings' rules.ask_within_ms
-	Waste     bool    // calls that failed in turn cost as much as any other
-	Seed      uint64
+	// LongestPause is balance.Config's, which sidecars set; 0: none.
+	LongestPause float64
+	Waste        bool // calls that failed in turn cost as much as any other
+	Seed         uint64
 }
 
 // Result is what came of it.
@@ -70,7 +72,7 @@
 	}
 	for i := range spec.Callers {
 		b, err := balance.New(balance.Config{Seed: spec.Seed + uint64(i)*7919, Number: i, Peers: spec.Callers, Subscribe: true,
-			AskWithin: spec.AskWithin, MaxAttempts: 2, Classes: []balance.Class{{Aim: 600, Deadline: 1500, Worth: 1}}})
+			AskWithin: spec.AskWithin, LongestPause: spec.LongestPause, MaxAttempts: 2, Classes: []balance.Class{{Aim: 600, Deadline: 1500, Worth: 1}}})
 		if err != nil {
 			return nil, fmt.Errorf("crowd: %w", err)
 		}
