Hold the pauses of pushed lists within the clock for silence at a long drain grace

Symptom: the time for which a silent agent is waited for grows with the drain grace up to 1 s. From a grace of 5 s on, a watch that falls silent and a next call that stays silent, too, were followed by another one 6 s after the silence (8 s with two such calls): what was missed counts as told at 6 s, and only the grace of drains stood between that and a broken rule. To blame: mostLag, a constant with no reason of its own.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -45,7 +45,8 @@
 	// a call that nobody answers is given up. From the agent's return to the next call it is three at most.
 	lagParts = 5
 	leastLag = 50 * time.Millisecond // as far as limits of time are relaxed on sockets
-	mostLag  = time.Second
+	// However long the grace, a watch that falls silent and the next two calls, 4 lags, are together below toldWithin.
+	mostLag = (toldWithin - silence) / 5
 	// The drain grace in ms that holds until the settings' own is known; pages name none that is shorter.
 	startGrace = 500
 )
