Do not blame a server for a descriptor or port that this machine lacks

A dial that failed for want of a descriptor, a port or memory on this machine ended as a connect that failed, which tells of a server that is down: the module takes it out of use at once. With descriptors short, as idle clients can make them, one request after another would have taken out one server after another. Ruled out: reserve(), which bounds connections rightly, but cannot know what else the machine or process holds.

To blame: unsent, which took each unknown error for the server's.

Such an end is now no fault of the server (Moot), as where reserve() has no room. TestNoDescriptorLeft: without the change result 4 (connect failed), with it 7. Also new, and passing before: an answer that arrives as its attempt is given up counts once or not at all and its connection is not kept; connections that come back or up after their server was retired or all were closed are closed; one that comes up as its attempt is given up is counted right. Each of these was seen to fail with the check that it guards taken out, but the last, whose order is open both ways.

--- a/internal/sidecar/attempt_test.go
+++ b/internal/sidecar/attempt_test.go
@@ -280,3 +280,56 @@
 		t.Errorf("result %v", r.result)
 	}
 }
+
+// givenUpConn gives an attempt up with each answer that it reads.
+type givenUpConn struct {
+	*net.TCPConn
+	giveUp  func()
+	stopped chan struct{} // the connection was told
+	once    sync.Once
+}
+
+func (c *givenUpConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.giveUp()
+		<-c.stopped
+	}
+	return n, err
+}
+
+func (c *givenUpConn) SetDeadline(t time.Time) error {
+	if t.Equal(longAgo) {
+		defer c.once.Do(func() { close(c.stopped) })
+	}
+	return c.TCPConn.SetDeadline(t)
+}
+
+// An answer may arrive as its attempt is given up: it counts once or not at all, and its connection, whose deadline is
+// in the past, is not kept.
+func TestAnswerAsTheAttemptIsGivenUp(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+	for name, test := range map[string]struct {
+		answer string
+		want   balance.Result
+	}{
+		"whole": {head + "done", balance.OK},
+		"half":  {head + "do", balance.Cancelled},
+		"head":  {head, balance.Cancelled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, "a", respond(test.answer, true))
+			p, a, conn, _ := exchanging(t, b)
+			a.call.out = outboundPost([]byte("plate 12-34"))
+			gone := &givenUpConn{TCPConn: conn.Conn.(*net.TCPConn), giveUp: a.cancel, stopped: make(chan struct{})}
+			conn.Conn, conn.head.Conn = gone, gone
+			p.put(conn)
+			if r := p.send(a); r.result != test.want {
+				t.Errorf("result %v, want %v", r.result, test.want)
+			}
+			if n, idle := openOf(p), idleOf(p, a.up); n != 0 || idle != 0 {
+				t.Errorf("%d connections are counted, %d are kept, want none", n, idle)
+			}
+		})
+	}
+}
--- a/internal/sidecar/pool_test.go
+++ b/internal/sidecar/pool_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -263,3 +266,104 @@
 		})
 	}
 }
+
+// A machine that has no descriptor left for a connection says nothing of the server.
+func TestNoDescriptorLeft(t *testing.T) {
+	b := newBackend(t, "a", ok)
+	p, a, _, _ := exchanging(t, b)
+	p.dialer.Control = func(string, string, syscall.RawConn) error {
+		return os.NewSyscallError("socket", syscall.EMFILE)
+	}
+	a.call.out = outboundPost([]byte("plate 12-34"))
+	if r := p.send(a); r.result != balance.Moot {
+		t.Errorf("result %v, want that no server is blamed", r.result)
+	}
+	if n := openOf(p); n != 1 {
+		t.Errorf("%d connections are counted, want the other one", n)
+	}
+}
+
+// A connection that comes back, or up, after its server was retired or all were closed is closed and not kept.
+func TestConnectionThatOutlastsItsPool(t *testing.T) {
+	ends := map[string]func(*upstreams, *upstream){
+		"server retired": func(p *upstreams, up *upstream) { p.retire(up) },
+		"all closed": func(p *upstreams, _ *upstream) {
+			p.endDial() // as closeAll does first: it waits for dials
+		},
+	}
+	for name, end := range ends {
+		t.Run(name+", at work", func(t *testing.T) {
+			b := newBackend(t, "a", ok)
+			p, a, conn, _ := exchanging(t, b)
+			end(p, a.up)
+			p.put(conn)
+			if n, idle := openOf(p), idleOf(p, a.up); n != 0 || idle != 0 {
+				t.Errorf("%d connections are counted, %d are kept, want none", n, idle)
+			}
+			if _, err := conn.Write([]byte("x")); !errors.Is(err, net.ErrClosed) {
+				t.Errorf("the connection is not closed: %v", err)
+			}
+		})
+		t.Run(name+", on its way", func(t *testing.T) {
+			b := newBackend(t, "a", ok)
+			p, a, conn, _ := exchanging(t, b)
+			p.discard(conn)
+			handshake := make(chan struct{})
+			p.dialer.Control = func(string, string, syscall.RawConn) error { <-handshake; return nil }
+			ctx, giveUp := context.WithCancel(t.Context())
+			got := make(chan error, 1)
+			go func() {
+				_, _, err := p.get(ctx, a.up, a.cut, nil)
+				got <- err
+			}()
+			until(t, "the attempt to wait", func() bool {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				return len(a.up.waiting) == 1
+			})
+			giveUp()
+			if err := receive(t, "the attempt to end", got); !errors.Is(err, context.Canceled) {
+				t.Errorf("it ended with %v", err)
+			}
+			end(p, a.up)
+			close(handshake)
+			p.dialers.Wait()
+			if n, idle := openOf(p), idleOf(p, a.up); n != 0 || idle != 0 {
+				t.Errorf("%d connections are counted, %d are kept, want none", n, idle)
+			}
+		})
+	}
+}
+
+// An attempt whose time is over in the moment in which its connection comes up has that connection, and gives it back.
+func TestConnectionComesUpAsItsAttemptIsGivenUp(t *testing.T) {
+	b := newBackend(t, "a", ok)
+	p, a, conn, _ := exchanging(t, b)
+	p.discard(conn)
+	ctx, giveUp := context.WithCancel(t.Context())
+	got := make(chan error, 1)
+	handshake := make(chan struct{})
+	p.dialer.Control = func(string, string, syscall.RawConn) error { <-handshake; return nil }
+	go func() {
+		conn, _, err := p.get(ctx, a.up, a.cut, nil)
+		if err == nil {
+			p.discard(conn)
+		}
+		got <- err
+	}()
+	until(t, "the attempt to wait", func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(a.up.waiting) == 1
+	})
+	p.mu.Lock() // neither the attempt nor the connection gets any further: their order is open
+	giveUp()
+	close(handshake)
+	until(t, "the connection to come up", func() bool { return b.conns.Load() == 2 })
+	p.mu.Unlock()
+	receive(t, "the attempt to end", got)
+	p.dialers.Wait()
+	if n, idle := openOf(p), idleOf(p, a.up); n != idle {
+		t.Errorf("%d connections are counted, %d are kept", n, idle)
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -513,7 +513,7 @@
 // unsent is the result where the last byte was never written.
 func unsent(ctx context.Context, cut time.Time, err error) balance.Result {
 	switch {
-	case ctx.Err() != nil, err == errMoot, err == errNoSocket, !time.Now().Before(cut):
+	case ctx.Err() != nil, err == errMoot, err == errNoSocket, !time.Now().Before(cut), isLocal(err):
 		return balance.Moot // no fault of the server
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		return balance.Broken // something answered
@@ -522,6 +522,13 @@
 	}
 }
 
+// isLocal tells that this machine has no socket, port or memory left for a connection.
+func isLocal(err error) bool {
+	return slices.ContainsFunc([]error{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EADDRINUSE,
+	}, func(local error) bool { return errors.Is(err, local) })
+}
+
 // readReply reads the answer to a request that was written whole: what breaks from here on may have run.
 func (p *upstreams) readReply(ctx context.Context, conn *upConn, cut time.Time, req *http.Request, a *attempt,
 	idle time.Duration) (reply, bool) {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -335,6 +335,12 @@
 		{op("connect", syscall.ECONNRESET), balance.Broken},
 		{op("write", syscall.ECONNRESET), balance.Broken},
 		{op("write", syscall.EPIPE), balance.Broken},
+		{op("socket", syscall.EMFILE), balance.Moot},
+		{op("socket", syscall.ENFILE), balance.Moot},
+		{op("connect", syscall.EADDRNOTAVAIL), balance.Moot},
+		{op("connect", syscall.EADDRINUSE), balance.Moot},
+		{op("write", syscall.ENOBUFS), balance.Moot},
+		{op("connect", syscall.EHOSTUNREACH), balance.ConnectFailed},
 		{errMoot, balance.Moot},
 		{errNoSocket, balance.Moot},
 	} {
