Test that a window which ends while connecting ends the request

A whole sidecar: a keyed request fails at one server, the other never comes up, and the window is over while it connects. With the repeat's check taken out the client waits for its deadline (504 after 9.0 s of 9 s), with it it is answered as failed and the server has one attempt.

--- a/internal/sidecar/attempt_test.go
+++ b/internal/sidecar/attempt_test.go
@@ -333,3 +333,22 @@
 		})
 	}
 }
+
+// A request whose window ends while its further attempt connects is answered then, and not only at its deadline: it can
+// not be sent any more.
+func TestWindowOfAKeyEndsWhileConnecting(t *testing.T) {
+	b := newBackend(t, "a", respond("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", true))
+	b.target.Capacity = 1000 // it is asked first
+	never := ready("b", unanswering(t))
+	c := newConf(newRegistry(t).addr(), b.target, never).
+		setting(`"window_ms": 2000`, `"window_ms": 100`).
+		setting(`"connect_timeout_ms": 100`, `"connect_timeout_ms": 60000`).
+		setting(`"hard_limit_ms": 1000, "worth": 8`, `"hard_limit_ms": 9000, "worth": 8`)
+	s := start(t, c)
+	if got := s.do(s.request("reserve", 9*time.Second)); got.status != statusFailed {
+		t.Errorf("%+v, want a failure", got)
+	}
+	if n := b.requests.Load(); n != 1 {
+		t.Errorf("%d attempts at the server, want 1", n)
+	}
+}
