Refuse configurations that cannot work, and name the key in every error

Symptom: a configuration whose discovery address has a port over 65535, no port or no host loaded without an error. At SIGHUP the sidecar left its sound address for one that can never be called. Times too long for a duration (1e13 ms and over) became negative: every request of such a class was over at once. A negative conn_idle_ms or open_cap, a limit too large for the arithmetic and a zone named twice (servers of the own zone counted as another one's) were taken as well. Errors of types spoke of Go struct fields, those of classes and limits named an index or a whole struct and no key. To blame: checks of SplitHostPort alone, millis' conversion, and errors of encoding/json passed on as they are.

Change: an address to call needs a host and a port from 1 to 65535 that make a URL; millis stops at 100 years; what is negative or cannot be is refused; every error names file, key (classes[0].effect) and word, of syntax the byte.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -8,7 +8,9 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"net"
+	"net/url"
 	"os"
 	"slices"
 	"strconv"
@@ -52,6 +54,12 @@
 // fewestSockets is the least that leaves connections for clients and servers beside the reserve.
 const fewestSockets = 2 * fewestReserve
 
+// Limits beyond these are mistakes, and are more than the arithmetic of the limits holds.
+const (
+	mostMemoryMB = 1 << 30
+	mostCores    = 1 << 20
+)
+
 type named struct {
 	Name string `json:"name"`
 }
@@ -101,6 +109,37 @@
 	} `json:"limits"`
 }
 
+// check refuses what the sidecar alone would read wrong.
+func (n *names) check() error {
+	if n.Limits.ConnIdle < 0 {
+		return fmt.Errorf("limits.conn_idle_ms is %v", n.Limits.ConnIdle)
+	}
+	if n.Limits.MaxOpen < 0 {
+		return fmt.Errorf("limits.open_cap is %d", n.Limits.MaxOpen)
+	}
+	for i, zone := range n.Zones {
+		if slices.Index(n.Zones, zone) != i {
+			return fmt.Errorf("zones: %q stands there twice", zone)
+		}
+	}
+	return nil
+}
+
+// checkServiceAddr refuses an address that cannot be called. SIGHUP would move a sidecar there for good.
+func checkServiceAddr(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+		return fmt.Errorf("address %q has no host, or a port that is not between 1 and 65535", addr)
+	}
+	if u, err := url.Parse("http://" + addr); err != nil || u.Host != addr {
+		return fmt.Errorf("address %q is no host and port", addr)
+	}
+	return nil
+}
+
 // LoadConfig reads the configuration file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN,
 // NODE_DISCOVERY and NODE_MANAGEMENT, where set, win over the file.
 func LoadConfig(getenv func(string) string) (*Config, error) {
@@ -114,7 +153,7 @@
 	}
 	var f file
 	if err := json.Unmarshal(data, &f); err != nil {
-		return nil, fmt.Errorf("configuration %s: %w", path, err)
+		return nil, fmt.Errorf("configuration %s: %w", path, wire.KeyError(err))
 	}
 	for name, field := range map[string]*string{
 		"NODE_NAME": &f.Name, "NODE_LISTEN": &f.Listen, "NODE_DISCOVERY": &f.Discovery,
@@ -136,14 +175,14 @@
 }
 
 func (f *file) config() (*Config, error) {
-	addrs := map[string]string{"listen": f.Listen, "discovery": f.Discovery}
-	if f.Manage != "" {
-		addrs["management"] = f.Manage
+	if _, _, err := net.SplitHostPort(f.Listen); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
 	}
-	for name, addr := range addrs {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return nil, fmt.Errorf("%s: %w", name, err)
-		}
+	if _, _, err := net.SplitHostPort(f.Manage); err != nil && f.Manage != "" {
+		return nil, fmt.Errorf("management: %w", err)
+	}
+	if err := checkServiceAddr(f.Discovery); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
@@ -158,6 +197,9 @@
 	}
 	var n names
 	if err := json.Unmarshal(f.Settings, &n); err != nil {
+		return nil, fmt.Errorf("settings: %w", wire.KeyError(err))
+	}
+	if err := n.check(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	cfg := &Config{
@@ -169,12 +211,17 @@
 	if cfg.Sockets == 0 {
 		cfg.Sockets = defaultSockets
 	}
-	if cfg.Sockets < fewestSockets || cfg.MemoryMB < 0 || cfg.Cores < 0 {
-		return nil, fmt.Errorf("limits cannot be: %+v (at least %d sockets)", f.Limits, fewestSockets)
+	switch {
+	case cfg.Sockets < fewestSockets:
+		return nil, fmt.Errorf("limits.sockets is %d, at least %d", cfg.Sockets, fewestSockets)
+	case cfg.MemoryMB < 0 || cfg.MemoryMB > mostMemoryMB:
+		return nil, fmt.Errorf("limits.memory_mb is %d, not between 0 and %d", cfg.MemoryMB, mostMemoryMB)
+	case !(cfg.Cores >= 0 && cfg.Cores <= mostCores):
+		return nil, fmt.Errorf("limits.cores is %v, not between 0 and %d", cfg.Cores, mostCores)
 	}
 	for _, own := range []bool{true, false} {
 		for i, l := range f.Lists {
-			if _, _, err := net.SplitHostPort(l.Addr); err != nil {
+			if err := checkServiceAddr(l.Addr); err != nil {
 				return nil, fmt.Errorf("lists[%d].addr: %w", i, err)
 			}
 			if own == (n.Zone >= 0 && n.Zone < len(n.Zones) && l.Zone == n.Zones[n.Zone]) {
@@ -274,4 +321,10 @@
 	return []string{cfg.Discovery}
 }
 
-func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// longestTime is more than any time that is waited, and the sum of two still is a duration.
+const longestTime = 100 * 365 * 24 * time.Hour
+
+// millis gives a time in ms as a duration, of longestTime at most: a conversion that overflows would be negative.
+func millis(ms float64) time.Duration {
+	return time.Duration(math.Min(ms*float64(time.Millisecond), float64(longestTime)))
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 
@@ -92,7 +93,7 @@
 func ParseSettings(seed uint64, profile []byte) (balance.Config, error) {
 	var s settings
 	if err := json.Unmarshal(profile, &s); err != nil {
-		return balance.Config{}, fmt.Errorf("settings: %w", err)
+		return balance.Config{}, fmt.Errorf("settings: %w", KeyError(err))
 	}
 	cfg := balance.Config{
 		Seed: seed, Number: s.Me, Peers: max(s.Peers, 1), Zone: s.Zone,
@@ -112,7 +113,7 @@
 	case "subscribe":
 		cfg.Subscribe = true
 	default:
-		return cfg, fmt.Errorf("settings: unknown discovery %q", s.Discovery)
+		return cfg, fmt.Errorf("settings: discovery: unknown word %q", s.Discovery)
 	}
 	for _, f := range []struct {
 		key string
@@ -127,19 +128,27 @@
 		{"result_mix.whole", s.Goal.Whole}, {"result_mix.worst_window", s.Goal.WorstWindow},
 		{"result_mix.worst_class", s.Goal.WorstClass}, {"result_mix.worst_tenant", s.Goal.WorstTenant},
 		{"penalties.cross_zone", s.Prices.CrossZone}, {"penalties.probe", s.Prices.Probe},
+		{"penalties.waste", s.Prices.Waste}, {"penalties.handshake", s.Prices.Handshake},
+		{"penalties.peer", s.Prices.Peer}, {"penalties.late_fail", s.Prices.LateFail},
 	} {
 		if f.v < 0 {
-			return cfg, fmt.Errorf("settings: %s is %v", f.key, f.v)
+			return cfg, negative(f.key, f.v)
 		}
 	}
 	var ok bool
 	if cfg.Reports, ok = reportWays[s.Report.Via]; !ok {
-		return cfg, fmt.Errorf("settings: unknown report.via %q", s.Report.Via)
+		return cfg, fmt.Errorf("settings: report.via: unknown word %q", s.Report.Via)
 	}
 	for _, name := range s.Report.Fields {
 		cfg.Fields = append(cfg.Fields, reportFields[name])
 	}
-	for _, t := range s.Tenants {
+	for i, t := range s.Tenants {
+		if t.Allowance < 0 {
+			return cfg, negative(fmt.Sprintf("tenants[%d].allowance_per_s", i), t.Allowance)
+		}
+		if t.Share < 0 {
+			return cfg, negative(fmt.Sprintf("tenants[%d].share", i), t.Share)
+		}
 		cfg.Tenants = append(cfg.Tenants, balance.Tenant{Allowance: t.Allowance, Share: t.Share})
 	}
 	return cfg, s.addClasses(&cfg)
@@ -150,19 +159,25 @@
 		return fmt.Errorf("settings: no classes")
 	}
 	for i, c := range s.Classes {
+		key := func(name string) string { return fmt.Sprintf("classes[%d].%s", i, name) }
 		effect, ok := effects[c.Effect]
 		if !ok {
-			return fmt.Errorf("settings: class %d: unknown effect %q", i, c.Effect)
+			return fmt.Errorf("settings: %s: unknown word %q", key("effect"), c.Effect)
 		}
 		group, ok := groups[c.Group]
 		if !ok {
-			return fmt.Errorf("settings: class %d: unknown group %q", i, c.Group)
+			return fmt.Errorf("settings: %s: unknown word %q", key("group"), c.Group)
 		}
-		if !(c.Deadline > 0) || c.Aim < 0 {
-			return fmt.Errorf("settings: class %d: aim %v ms, deadline %v ms", i, c.Aim, c.Deadline)
+		if !(c.Deadline > 0) {
+			return fmt.Errorf("settings: %s is %v, not over 0", key("hard_limit_ms"), c.Deadline)
 		}
-		if c.Worth != nil && *c.Worth < 0 || c.LateWorth < 0 || c.Window != nil && *c.Window < 0 {
-			return fmt.Errorf("settings: class %d: worth, late_worth or window_ms is negative", i)
+		for name, v := range map[string]float64{
+			"on_time_ms": c.Aim, "aim_stretch": c.AimStretch, "worth": or(c.Worth, 0), "late_worth": c.LateWorth,
+			"window_ms": or(c.Window, 0),
+		} {
+			if v < 0 {
+				return negative(key(name), v)
+			}
 		}
 		aim := c.Aim
 		if aim == 0 {
@@ -176,6 +191,21 @@
 	return nil
 }
 
+func negative(key string, v float64) error { return fmt.Errorf("settings: %s is %v", key, v) }
+
+// KeyError says of an error of encoding/json where in the text it is: the key, or the byte where there is no key.
+func KeyError(err error) error {
+	var mistyped *json.UnmarshalTypeError
+	var syntax *json.SyntaxError
+	switch {
+	case errors.As(err, &mistyped) && mistyped.Field != "":
+		return fmt.Errorf("%s: a %s where a %s should be", mistyped.Field, mistyped.Value, mistyped.Type)
+	case errors.As(err, &syntax):
+		return fmt.Errorf("byte %d: %w", syntax.Offset, err)
+	}
+	return err
+}
+
 func or[T any](v *T, otherwise T) T {
 	if v == nil {
 		return otherwise
