--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -58,6 +58,7 @@
 		{`"on_time_ms":750`, `"on_time_ms":[]`, "settings: classes.on_time_ms: a array"},
 		{`"hard_limit_ms":2500`, `"hard_limit_ms":0`, "settings: classes[0].hard_limit_ms is 0"},
 		{`"window_ms":2000`, `"window_ms":-1`, "settings: classes[1].window_ms is -1"},
+		{`"max_attempts":6`, `"max_attempts":0`, "settings: limits.max_attempts is 0"},
 		{`"worth":3`, `"worth":-1`, "settings: classes[0].worth is -1"}, {`"share":1`, `"share":-1`, "settings: tenants[0].share is -1"},
 		{`"allowance_per_s":100`, `"allowance_per_s":-1`, "settings: tenants[0].allowance_per_s is -1"},
 		{`"name":"kita"`, `"name":""`, "settings: tenants: entry 0"}, {`"zones":["z"]`, `"zones":["z","z"]`, `settings: zones: "z"`},
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -135,6 +135,9 @@
 			return cfg, negative(f.key, f.v)
 		}
 	}
+	if cfg.MaxAttempts == 0 {
+		return cfg, errors.New("settings: limits.max_attempts is 0, at least 1: no request could be sent")
+	}
 	var ok bool
 	if cfg.Reports, ok = reportWays[s.Report.Via]; !ok {
 		return cfg, fmt.Errorf("settings: report.via: unknown word %q", s.Report.Via)
