Tell the end of a connection only where no request has been read from it

Symptom: a request could be read and its connection then ended without an answer, or run though its answer could no longer be written, at SIGTERM and where a full room makes room. Five windows, found by reading room.go: - between a read and the note that something was heard (guest.Read, hear): the connection counted as idle, and what had been read was dropped; - between leave, which made a guest deaf, and the half close behind the room's lock (closeIdle): a request that came in between was read and dropped before its client was told; - between two requests of one write: the second one is in net/http's buffer, and was heard before rest() set since, so its connection counted as idle; it ran, and its answer met a closed connection; - the same with half of the second one, which docs/on-call.md promises to wait for; - between net/http's reading of a head and the handler's work(): place() took the connection for one that had stopped.

Change: bytes are taken from the system under a lock that is also held while an end is decided and told. A guest keeps note whether net/http may hold bytes of no request yet (it reads on only when it has none left; the bound it sets for a head tells that one has begun), and such a guest is neither told its end nor makes room. A request is at work from http.StateActive on.

Measured, with the part of the change reverted on a copy: TestShutdownAsARequestIsTaken (heard after the read), TestShutdownTakesNothingWhileItTells (told outside the lock), TestShutdownBetweenPipelinedRequests (held bytes ignored: "it makes room", "unexpected EOF"; no begin by the bound: "waited in vain for half a request") and TestNoRoomIsMadeByAReadRequest (at work from the handler only) fail; all pass with it. TestEndsBetweenRequests used to call leave as of before a read; that order cannot be any more, so it now asks tellEnd and leave after the read, and its idle connection has a reader as in net/http.

--- a/internal/sidecar/room.go
+++ b/internal/sidecar/room.go
@@ -1,10 +1,14 @@
 package sidecar
 
 import (
+	"errors"
+	"io"
 	"math"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -41,6 +45,13 @@
 	room  *room
 	heard atomic.Int64 // when it last sent something, in ns since the room's epoch; 0: nothing yet; or deaf
 
+	// taking is held while bytes are taken from the system, and while the end of the connection is decided and told:
+	// what comes is either read before that, and counts, or after it, and does not. It may be taken under the room's
+	// lock, not the other way round.
+	taking  sync.Mutex
+	holding bool // net/http may hold bytes that it has not begun a request with
+	working bool // as busy
+
 	since time.Time // it came, or its last request ended; under the room's lock, as are these:
 	kept  bool      // it has had a request
 	busy  bool      // a request is at work
@@ -106,21 +117,33 @@
 		r.guests[g] = struct{}{}
 		return nil, 0
 	}
+	spared := map[*guest]bool{} // their bytes are on the way to their handler
+	for {
+		victim = r.longestSilent(spared)
+		if victim == nil || victim.leave() {
+			return victim, shedAfter
+		}
+		spared[victim] = true
+	}
+}
+
+// longestSilent is the first to make room, but for those that are spared; nil: nobody may.
+func (r *room) longestSilent(spared map[*guest]bool) (first *guest) {
 	now := time.Now()
 	least, oldest := 0, time.Time{}
 	for g := range r.guests {
-		if g.busy {
+		if g.busy || spared[g] {
 			continue
 		}
 		order, last := g.order(now)
 		if now.Sub(last) < shedAfter {
 			continue
 		}
-		if victim == nil || order < least || order == least && last.Before(oldest) {
-			victim, least, oldest = g, order, last
+		if first == nil || order < least || order == least && last.Before(oldest) {
+			first, least, oldest = g, order, last
 		}
 	}
-	return victim, shedAfter
+	return first
 }
 
 // Who makes room, the first first. A newcomer that is closed loses its request; one between requests loses nothing.
@@ -179,11 +202,10 @@
 // answers may not have ended their connections, have been told. Each is told by half a close and goes with its
 // client: what crosses it is read and dropped, as a reset could take an answer with it that is not read yet.
 func (r *room) closeIdle(before time.Time) (more bool) {
-	var tell, end []*guest
+	var end []*guest
 	now := time.Now()
 	r.mu.Lock()
 	for g := range r.guests {
-		at := g.heard.Load()
 		_, begun := g.begun()
 		switch {
 		case !g.told.IsZero():
@@ -196,31 +218,51 @@
 		case !g.kept && now.Sub(g.since) < crossing:
 			more = more || g.since.Before(before)
 		default:
-			if more = true; g.leave(at) {
+			more = true
+			switch left, told := g.tellEnd(); {
+			case told:
 				g.told = now
-				tell = append(tell, g)
+			case left:
+				end = append(end, g)
 			}
 		}
 	}
 	r.mu.Unlock()
-	for _, g := range tell {
-		if half, ok := g.Conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
-			g.Close()
-		}
-	}
 	for _, g := range end {
 		g.Close()
 	}
 	return more
 }
 
-// leave makes the guest deaf, unless something has come from it since it was last heard. A request is either heard
+// leave makes the guest deaf, unless something has come from it that has not become a request: that is either read
 // and answered, or never runs and its client sends it again.
-func (g *guest) leave(heard int64) bool {
+func (g *guest) leave() bool {
+	g.taking.Lock()
+	defer g.taking.Unlock()
+	return g.leaveLocked()
+}
+
+func (g *guest) leaveLocked() bool {
+	if g.holding {
+		return false
+	}
 	if _, unread := peek(g.Conn); unread {
 		return false
 	}
-	return g.heard.CompareAndSwap(heard, deaf)
+	g.heard.Store(deaf)
+	return true
+}
+
+// tellEnd makes the guest deaf as leave does, unless half a request has come from it, and tells it so by half a close.
+// Nothing is read from it in between.
+func (g *guest) tellEnd() (left, told bool) {
+	g.taking.Lock()
+	defer g.taking.Unlock()
+	if _, begun := g.begun(); begun || !g.leaveLocked() {
+		return false, false
+	}
+	half, ok := g.Conn.(interface{ CloseWrite() error })
+	return true, ok && half.CloseWrite() == nil
 }
 
 func (r *room) hint() {
@@ -237,28 +279,76 @@
 
 // Read drops what comes to a deaf guest, up to the client's end.
 func (g *guest) Read(p []byte) (int, error) {
-	for {
-		n, err := g.Conn.Read(p)
-		if n == 0 || g.hear() {
-			return n, err
-		}
-		if err != nil {
-			return 0, err
+	conn, ok := g.Conn.(syscall.Conn)
+	if !ok {
+		return 0, errors.ErrUnsupported
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	g.taking.Lock()
+	g.holding = g.working // it reads on when it has nothing left of what it has read
+	g.taking.Unlock()
+	var n int
+	var failed error
+	err = raw.Read(func(fd uintptr) (done bool) {
+		n, failed = g.take(int(fd), p)
+		return failed != syscall.EAGAIN
+	})
+	switch {
+	case err != nil:
+		return 0, readError(err)
+	case failed != nil:
+		return 0, &net.OpError{
+			Op: "read", Net: "tcp", Source: g.LocalAddr(), Addr: g.RemoteAddr(), Err: os.NewSyscallError("read", failed),
 		}
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
 	}
+	return n, nil
 }
 
-// hear notes that something has come, and reports whether it counts.
-func (g *guest) hear() bool {
+// take reads what there is; EAGAIN: nothing.
+func (g *guest) take(fd int, p []byte) (n int, err error) {
+	g.taking.Lock()
+	defer g.taking.Unlock()
 	for {
-		at := g.heard.Load()
-		if at == deaf {
-			return false
-		}
-		if g.heard.CompareAndSwap(at, int64(time.Since(epoch))) {
-			return true
+		n, err = syscall.Read(fd, p)
+		switch {
+		case err == syscall.EINTR:
+			continue
+		case err != nil:
+			return 0, err
+		case n == 0:
+			return 0, nil
+		case g.heard.Load() == deaf:
+			continue
 		}
+		g.heard.Store(int64(time.Since(epoch)))
+		g.holding = true
+		return n, nil
+	}
+}
+
+// readError names an error as that of a read: net/http tells by it that nobody is there to be answered.
+func readError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) {
+		op.Op = "read"
+	}
+	return err
+}
+
+// SetReadDeadline also tells that a request has begun, of which all may have come with the one before: net/http sets a
+// bound for the head from its first bytes on, and none between requests.
+func (g *guest) SetReadDeadline(t time.Time) error {
+	g.taking.Lock()
+	if !t.IsZero() && !g.working && g.heard.Load() != deaf && g.heard.Load() != 0 {
+		g.heard.Store(int64(time.Since(epoch)))
 	}
+	g.taking.Unlock()
+	return g.Conn.SetReadDeadline(t)
 }
 
 func (g *guest) Close() error {
@@ -274,10 +364,16 @@
 	g.room.mu.Lock()
 	g.busy = true
 	g.room.mu.Unlock()
+	g.taking.Lock()
+	g.working = true
+	g.taking.Unlock()
 }
 
 // rest tells that its request is answered.
 func (g *guest) rest() {
+	g.taking.Lock()
+	g.working, g.holding = false, true // the next one may have come with it
+	g.taking.Unlock()
 	g.room.mu.Lock()
 	g.busy, g.kept, g.since = false, true, time.Now()
 	g.room.mu.Unlock()
--- /dev/null
+++ b/internal/sidecar/room_shutdown_test.go
@@ -0,0 +1,316 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// gate holds up whoever comes to it until the test lets it go on. One that is not held lets all pass.
+type gate struct {
+	reached chan struct{}
+	passed  chan struct{}
+}
+
+func newGate() *gate { return &gate{reached: make(chan struct{}), passed: make(chan struct{})} }
+
+func (g *gate) come() {
+	select {
+	case g.reached <- struct{}{}:
+		<-g.passed
+	case <-g.passed:
+	}
+}
+
+// gatedConn comes to a gate whenever it has taken bytes from the system, before anybody is told of them.
+type gatedConn struct {
+	*net.TCPConn
+	taken *gate
+}
+
+func (c gatedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.taken.come()
+	}
+	return n, err
+}
+
+func (c gatedConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return gatedRaw{raw, c.taken}, err
+}
+
+type gatedRaw struct {
+	syscall.RawConn
+	taken *gate
+}
+
+func (r gatedRaw) Read(f func(fd uintptr) bool) error {
+	return r.RawConn.Read(func(fd uintptr) bool {
+		done := f(fd)
+		if done {
+			r.taken.come()
+		}
+		return done
+	})
+}
+
+// accepted is a client's connection and its guest in a room of so many places.
+func accepted(t *testing.T, places int) (*room, net.Conn, *guest) {
+	t.Helper()
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := newRoom(l, places)
+	t.Cleanup(func() { r.Close() })
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	g, err := r.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { g.Close() })
+	g.SetDeadline(time.Now().Add(patience))
+	return r, c, g.(*guest)
+}
+
+func (r *room) isTold(g *guest) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !g.told.IsZero()
+}
+
+// A request that has been taken from the system counts, also where nobody has been told of it when idle connections
+// are ended.
+func TestShutdownAsARequestIsTaken(t *testing.T) {
+	r, c, g := accepted(t, 2)
+	g.rest()
+	taken := newGate()
+	g.Conn = gatedConn{g.Conn.(*net.TCPConn), taken}
+	read := make(chan int, 1)
+	go func() {
+		n, _ := g.Read(make([]byte, 8))
+		read <- n
+	}()
+	if _, err := c.Write(make([]byte, 8)); err != nil {
+		t.Fatal(err)
+	}
+	receive(t, "the bytes to be taken", taken.reached)
+	r.closeIdle(time.Now())
+	if r.isTold(g) {
+		t.Error("an end is told after a request was taken")
+	}
+	close(taken.passed)
+	if n := receive(t, "the bytes", read); n != 8 {
+		t.Errorf("%d bytes of a request are passed on", n)
+	}
+}
+
+// tellingConn runs a function within the half close.
+type tellingConn struct {
+	*net.TCPConn
+	telling func()
+}
+
+func (c tellingConn) CloseWrite() error {
+	c.telling()
+	return c.TCPConn.CloseWrite()
+}
+
+// From the decision that a connection ends to the client's being told so nothing is taken from it.
+func TestShutdownTakesNothingWhileItTells(t *testing.T) {
+	r, _, g := accepted(t, 2)
+	g.rest()
+	g.holding = false // as when net/http reads again
+	told := false
+	g.Conn = tellingConn{g.Conn.(*net.TCPConn), func() {
+		told = true
+		if g.taking.TryLock() {
+			g.taking.Unlock()
+			t.Error("a request may be taken and dropped before its client is told")
+		}
+	}}
+	r.closeIdle(time.Now())
+	if !told {
+		t.Error("nobody was told")
+	}
+}
+
+// serveRoom serves a room through net/http, as the sidecar does.
+func serveRoom(t *testing.T, r *room, hold func(net.Conn, http.ConnState), answer http.HandlerFunc) {
+	t.Helper()
+	srv := workFromHead(&http.Server{
+		Handler: answer, ConnContext: withConn, ReadHeaderTimeout: patience,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateIdle {
+				c.(*headConn).next()
+			}
+			hold(c, state)
+		},
+	})
+	ended := make(chan error, 1)
+	go func() { ended <- srv.Serve(headListener{r}) }()
+	t.Cleanup(func() {
+		srv.Close()
+		<-ended
+	})
+}
+
+func openRoom(t *testing.T) (*room, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return newRoom(l, 1), c
+}
+
+const plain = "GET /%s HTTP/1.1\r\nHost: a\r\n\r\n"
+
+// A request that came together with the one before is at work or waits in net/http's buffer between the two: its
+// connection is not idle, and makes no room either.
+func TestShutdownBetweenPipelinedRequests(t *testing.T) {
+	whole := fmt.Sprintf(plain, "b")
+	for _, second := range []string{whole, whole[:len(whole)/2]} {
+		r, c := openRoom(t)
+		between := newGate()
+		first := true
+		serveRoom(t, r, func(_ net.Conn, state http.ConnState) {
+			if state == http.StateIdle && first {
+				first = false
+				between.come()
+			}
+		}, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, r.URL.Path) })
+		if _, err := io.WriteString(c, fmt.Sprintf(plain, "a")+second); err != nil {
+			t.Fatal(err)
+		}
+		receive(t, "the first request's end", between.reached)
+		r.closeIdle(time.Now())
+		r.mu.Lock()
+		for g := range r.guests {
+			g.since = time.Now().Add(-time.Hour)
+		}
+		r.mu.Unlock()
+		if victim, _ := r.place(&guest{}); victim != nil {
+			t.Error("it makes room")
+		}
+		r.mu.Lock()
+		for g := range r.guests {
+			g.since = time.Now()
+		}
+		r.mu.Unlock()
+		close(between.passed)
+		in := bufio.NewReader(c)
+		for _, want := range []string{"/a", "/b"} {
+			if want == "/b" && second != whole {
+				// Half of it waits for the rest, and is no idle connection either.
+				until(t, "half a request", func() bool {
+					r.mu.Lock()
+					defer r.mu.Unlock()
+					for g := range r.guests {
+						if _, begun := g.begun(); begun {
+							return true
+						}
+					}
+					return false
+				})
+				r.closeIdle(time.Now())
+				if _, err := io.WriteString(c, whole[len(second):]); err != nil {
+					t.Fatal(err)
+				}
+			}
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatalf("%s: %v", want, err)
+			}
+			if body, err := io.ReadAll(resp.Body); err != nil || string(body) != want {
+				t.Errorf("%q, %v, want %s", body, err, want)
+			}
+		}
+	}
+}
+
+// readsListener tells of each wait for bytes that begins on its connections.
+type readsListener struct {
+	net.Listener
+	reads chan struct{}
+}
+
+func (l readsListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return readsConn{c.(*net.TCPConn), l.reads}, nil
+}
+
+type readsConn struct {
+	*net.TCPConn
+	reads chan struct{}
+}
+
+func (c readsConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return readsRaw{raw, c.reads}, err
+}
+
+type readsRaw struct {
+	syscall.RawConn
+	reads chan struct{}
+}
+
+func (r readsRaw) Read(f func(fd uintptr) bool) error {
+	r.reads <- struct{}{}
+	return r.RawConn.Read(f)
+}
+
+// Who has sent a whole request that net/http has read makes no room, though its handler has not run for long and
+// net/http waits for what comes behind it.
+func TestNoRoomIsMadeByAReadRequest(t *testing.T) {
+	r, c := openRoom(t)
+	reads := make(chan struct{}, 10)
+	r.Listener = readsListener{r.Listener, reads}
+	handled := newGate()
+	serveRoom(t, r, func(net.Conn, http.ConnState) {}, func(w http.ResponseWriter, r *http.Request) {
+		handled.come() // before it says that it is at work
+		io.WriteString(w, r.URL.Path)
+	})
+	receive(t, "the wait for a head", reads)
+	if _, err := fmt.Fprintf(c, plain, "a"); err != nil {
+		t.Fatal(err)
+	}
+	receive(t, "the handler", handled.reached)
+	receive(t, "the wait for what comes behind", reads)
+	r.mu.Lock()
+	for g := range r.guests {
+		g.since = time.Now().Add(-time.Hour)
+		g.heard.Store(int64(time.Since(epoch) - time.Minute))
+	}
+	r.mu.Unlock()
+	if victim, _ := r.place(&guest{}); victim != nil {
+		t.Error("it makes room")
+	}
+	close(handled.passed)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+}
--- a/internal/sidecar/room_test.go
+++ b/internal/sidecar/room_test.go
@@ -118,7 +118,12 @@
 		t.Fatal(err)
 	}
 	until(t, "its bytes", func() bool { _, some := peek(unread.Conn); return some })
-	heard := unread.heard.Load()
+	read := make(chan int, 1)
+	go func() {
+		n, _ := deafened.Read(make([]byte, 8))
+		read <- n
+	}()
+	until(t, "a reader, as an idle connection has", deafened.isRead)
 	if !r.closeIdle(time.Now()) {
 		t.Error("nobody's request may cross an end")
 	}
@@ -128,17 +133,15 @@
 	if _, err := idle.Write(buf); err != nil {
 		t.Fatal(err)
 	}
-	read := make(chan int, 1)
-	go func() {
-		n, _ := deafened.Read(make([]byte, 8))
-		read <- n
-	}()
 	// A reader may have taken bytes just before it is looked whether there are any.
 	if n, err := unread.Read(buf); n == 0 || err != nil {
 		t.Errorf("what came before is read as %d, %v", n, err)
 	}
-	if unread.leave(heard) {
-		t.Error("who has been heard is closed")
+	if left, told := unread.tellEnd(); left || told {
+		t.Error("who has been heard is told its end")
+	}
+	if unread.leave() {
+		t.Error("who has been heard makes room, though nothing has become of what it sent")
 	}
 	until(t, "those that do not go to be closed", func() bool {
 		r.closeIdle(time.Now())
@@ -149,6 +152,13 @@
 	}
 }
 
+// isRead tells that whoever serves the connection has nothing of it left and waits for more.
+func (g *guest) isRead() bool {
+	g.taking.Lock()
+	defer g.taking.Unlock()
+	return !g.holding
+}
+
 func (r *room) bound() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -287,7 +287,7 @@
 		defer s.before.conn.Close()
 		s.prepare(ctx, gone)
 	}
-	srv := s.frontend.server()
+	srv := workFromHead(s.frontend.server())
 	go func() { failed <- srv.Serve(headListener{s.listener}) }()
 	s.serving.Store(true)
 	slog.Info("ready", "name", s.cfg.Name, "management", s.ManagementAddr(), "listen", s.Addr())
@@ -309,6 +309,21 @@
 	return s.drain(srv)
 }
 
+// workFromHead makes requests count as at work once net/http has read their heads: from then on it reads ahead, and their
+// handlers may not have run yet.
+func workFromHead(srv *http.Server) *http.Server {
+	changed := srv.ConnState
+	srv.ConnState = func(c net.Conn, state http.ConnState) {
+		if c, ok := c.(*headConn); ok && state == http.StateActive {
+			c.work()
+		}
+		if changed != nil {
+			changed(c, state)
+		}
+	}
+	return srv
+}
+
 // prepare waits until this process is fit to take over: it knows servers, from discovery or, after a while,
 // from the list it was started with. The process before serves meanwhile.
 func (s *Sidecar) prepare(ctx context.Context, gone <-chan struct{}) {
