--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/raft"
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 
 	"marblelane/internal/fault"
 )
@@ -52,7 +53,7 @@
 func openBolt(path string) (*bolt.DB, error) {
 	db, err := bolt.Open(path, 0o600,
 		&bolt.Options{Timeout: openWait, FreelistType: bolt.FreelistMapType, NoFreelistSync: true})
-	if errors.Is(err, bolt.ErrTimeout) {
+	if errors.Is(err, bolterrors.ErrTimeout) {
 		return nil, fmt.Errorf("%s is open in another process", path)
 	}
 	if err != nil {
