--- /dev/null
+++ b/cmd/cicheck/main_test.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestRun(t *testing.T) {
+	const good = "fleet.TestA | cause | issue 1\n"
+	for _, test := range []struct {
+		name    string
+		list    string
+		command []string
+		status  int
+		want    string
+	}{
+		{"no command", good, nil, statusUsage, "usage: cicheck LIST go test"},
+		{"a malformed line", good + "fleet.TestB\n", []string{"go", "test", "./..."}, statusUsage, "KNOWN-RED.txt:2: 1 fields, want"},
+		{"not go test", good, []string{"true", "test", "./..."}, statusFailed, "is not of the form `go test [flags] packages`"},
+		{"no such test", good, []string{"go", "test", "marblelane/cmd/cicheck/absent"}, statusFailed, "failures that"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			list := filepath.Join(t.TempDir(), "KNOWN-RED.txt")
+			if err := os.WriteFile(list, []byte(test.list), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			var out, errOut strings.Builder
+			status := run(t.Context(), append([]string{list}, test.command...), &out, &errOut)
+			if status != test.status {
+				t.Errorf("status %d, want %d", status, test.status)
+			}
+			if !strings.Contains(errOut.String(), test.want) {
+				t.Errorf("%q is not in %q", test.want, errOut.String())
+			}
+		})
+	}
+}
+
+func TestRunNeedsTheList(t *testing.T) {
+	var out, errOut strings.Builder
+	path := filepath.Join(t.TempDir(), "absent.txt")
+	if status := run(t.Context(), []string{path, "go", "test", "./..."}, &out, &errOut); status != statusUsage {
+		t.Errorf("status %d, want %d", status, statusUsage)
+	}
+	if !strings.Contains(errOut.String(), path) {
+		t.Errorf("%q does not name %s", errOut.String(), path)
+	}
+}
+
+func TestRunPasses(t *testing.T) {
+	list := filepath.Join(t.TempDir(), "KNOWN-RED.txt")
+	if err := os.WriteFile(list, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errOut strings.Builder
+	const quick = "marblelane/internal/fault"
+	if status := run(t.Context(), []string{list, "go", "test", quick}, &out, &errOut); status != 0 {
+		t.Errorf("status %d: %s%s", status, &out, &errOut)
+	}
+	if !strings.Contains(out.String(), "ok  \t"+quick+"\t") {
+		t.Errorf("no closing line in %q", &out)
+	}
+}
--- /dev/null
+++ b/internal/knownred/run_test.go
@@ -0,0 +1,214 @@
+package knownred
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The packages of the module that the tests below run.
+const (
+	redPackage = `package red
+
+import "testing"
+
+func TestListed(t *testing.T) { t.Run("sub", func(t *testing.T) { t.Error("the known fault") }) }
+func TestMended(t *testing.T) {}
+func TestOther(t *testing.T)  {}
+`
+	greenPackage = `package green
+
+import "testing"
+
+func TestGreen(t *testing.T) {}
+`
+	otherRedPackage = `package other
+
+import "testing"
+
+func TestOther(t *testing.T) { t.Error("a new fault") }
+`
+	// As with goleak.VerifyTestMain, the check after the tests is left out once one has failed.
+	leakyPackage = `package leaky
+
+import (
+	"os"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if code == 0 {
+		code = 3
+	}
+	os.Exit(code)
+}
+
+func TestListed(t *testing.T) { t.Error("the known fault") }
+func TestOther(t *testing.T)  {}
+`
+	panickingPackage = `package panicking
+
+import "testing"
+
+func TestListed(t *testing.T) { panic("boom") }
+func TestOther(t *testing.T)  {}
+`
+	racingPackage = `package racing
+
+import "testing"
+
+func TestListed(t *testing.T) {
+	count, done := 0, make(chan struct{})
+	go func() { count++; close(done) }()
+	count++
+	<-done
+}
+`
+	brokenPackage = `package broken
+
+import "testing"
+
+func TestListed(t *testing.T) { undefined() }
+`
+)
+
+// module writes a module named scratch whose packages have one test file each.
+func module(t *testing.T, packages map[string]string) string {
+	t.Helper()
+	dir := t.TempDir()
+	files := map[string]string{"go.mod": "module scratch\n\ngo 1.24\n"}
+	for name, text := range packages {
+		files[filepath.Join(name, name+"_test.go")] = text
+	}
+	for name, text := range files {
+		path := filepath.Join(dir, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+// runIn runs a test command in a module.
+func runIn(t *testing.T, dir, list string, command ...string) (string, error) {
+	t.Helper()
+	parsed, err := ParseList("KNOWN-RED.txt", strings.NewReader(list))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out, errOut strings.Builder
+	runner := &Runner{Dir: dir, List: parsed, Out: &out, ErrOut: &errOut}
+	err = runner.Run(t.Context(), command)
+	return out.String() + errOut.String(), err
+}
+
+func TestRunOfARealModule(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		packages map[string]string
+		list     string
+		flags    []string
+		want     []string // in the output
+		failed   bool
+	}{
+		{
+			name:     "listed tests fail and pass",
+			packages: map[string]string{"red": redPackage, "green": greenPackage},
+			list:     "scratch/red.TestListed | known | issue 1\nscratch/red.TestMended | known | issue 2\n",
+			want: []string{
+				"red_test.go:5: the known fault\n",
+				"--- FAIL: TestListed",
+				"go test -skip=^(TestListed|TestMended)$ scratch/red\nok  \tscratch/red\t",
+				"scratch/red.TestListed failed, as listed (issue 1: known)\n",
+				"scratch/red.TestMended PASSED: ",
+				"ok  \tscratch/green\t",
+			},
+		},
+		{
+			name:     "another test fails",
+			packages: map[string]string{"red": redPackage, "other": otherRedPackage},
+			list:     "scratch/red.TestListed | known | issue 1\n",
+			want:     []string{"a new fault\n", "not passed over: scratch/other.TestOther failed and is not listed\n"},
+			failed:   true,
+		},
+		{
+			name:     "a listed test is not there",
+			packages: map[string]string{"green": greenPackage},
+			list:     "scratch/green.TestGone | known | issue 1\n",
+			want:     []string{"not passed over: KNOWN-RED.txt:1: no test scratch/green.TestGone ran to its end\n"},
+			failed:   true,
+		},
+		{
+			name:     "a listed test hides a check after the tests",
+			packages: map[string]string{"leaky": leakyPackage},
+			list:     "scratch/leaky.TestListed | known | issue 1\n",
+			want:     []string{"not passed over: scratch/leaky without its listed tests: exit status 1\n"},
+			failed:   true,
+		},
+		{
+			name:     "a listed test panics",
+			packages: map[string]string{"panicking": panickingPackage},
+			list:     "scratch/panicking.TestListed | known | issue 1\n",
+			want:     []string{"panic: boom", "not passed over: scratch/panicking ended before its tests were through\n"},
+			failed:   true,
+		},
+		{
+			name:     "a listed test races",
+			packages: map[string]string{"racing": racingPackage},
+			list:     "scratch/racing.TestListed | known | issue 1\n",
+			flags:    []string{"-race"},
+			want:     []string{"WARNING: DATA RACE\n", "not passed over: scratch/racing reports a data race\n"},
+			failed:   true,
+		},
+		{
+			name:     "the package of a listed test does not build",
+			packages: map[string]string{"broken": brokenPackage, "green": greenPackage},
+			list:     "scratch/broken.TestListed | known | issue 1\n",
+			want:     []string{"undefined: undefined\n", "not passed over: scratch/broken does not build\n", "ok  \tscratch/green\t"},
+			failed:   true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			dir := module(t, test.packages)
+			command := append(append([]string{"go", "test"}, test.flags...), "./...")
+			out, err := runIn(t, dir, test.list, command...)
+			if (err != nil) != test.failed {
+				t.Errorf("the run's error is %v", err)
+			}
+			for _, want := range test.want {
+				if !strings.Contains(out, want) {
+					t.Errorf("%q is not in the output", want)
+				}
+			}
+			if t.Failed() {
+				t.Log(out)
+			}
+		})
+	}
+}
+
+func TestRunTakesGoTestAlone(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		command []string
+		want    string
+	}{
+		{"another program", []string{"gotestsum", "./..."}, `"gotestsum ./..." is not of the form`},
+		{"another subcommand", []string{"go", "vet", "./..."}, `"go vet ./..." is not of the form`},
+		{"no packages", []string{"go", "test"}, `"go test" is not of the form`},
+		{"a flag last", []string{"go", "test", "-race"}, `last word "-race" does not name packages`},
+		{"a flag's value alone", []string{"go", "test", "-run", "TestA", "./..."}, `"TestA" is not a flag`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := runIn(t, t.TempDir(), "", test.command...)
+			if err == nil || !strings.Contains(err.Error(), test.want) {
+				t.Errorf("error %v, want %q in it", err, test.want)
+			}
+		})
+	}
+}
