See a client that left behind unread bytes before an attempt begins

Symptom: a client sends a request and then some bytes more (a pipelined request, or a stray line end), and closes or resets its connection while the request waits. The request is sent on all the same.

Reason: net/http reads one byte in the background while a handler works. Once that is taken nobody reads the connection until the answer, so its end cancels no context (connReader.backgroundRead). The only checks before the first byte, in sender.write, were of the call, the deadline and the server. Ruled out: the order of hangUp and retry in the loop; it stops a retry wherever the frontend learns of the end.

Change: an attempt asks right before its first byte, of a body that is passed on too, for the state of the client's connection (TCP_INFO), which shows an end behind unread bytes and takes none. If the client has gone the attempt is moot and the loop ends the call as by hangUp; call.finish decides between that and the frontend. While nobody reads the connection the frontend looks every 50 ms, so that what waits in the module or for a connection ends with its client. States are trusted once one of a live connection was right; else what is unread is looked at as for kept connections, and an end behind it is not seen. Half a close counts as leaving, as it did where the end was read.

--- /dev/null
+++ b/internal/sidecar/client_gone.go
@@ -0,0 +1,134 @@
+package sidecar
+
+import (
+	"errors"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// clientPoll is how often a client is looked at whose connection nobody reads. No attempt depends on it, as each asks
+// before its first byte: it bounds how long a request counts as load after its client has gone.
+const clientPoll = 50 * time.Millisecond
+
+var errNoTCP = errors.New("no TCP connection of the system")
+
+// connStates tells whether the peer of a connection has closed, half-closed or reset it, also behind bytes that
+// nobody has read, without taking any of them.
+type connStates struct {
+	tcpState func(fd int) (uint8, error)
+	// trusted: tcpState has told of an established connection. Where something stands between this process and the
+	// system, and does not know the call, an answer may be about something else.
+	trusted atomic.Bool
+}
+
+// systemStates are those of this process's connections.
+var systemStates = &connStates{tcpState: tcpState}
+
+// tcpState asks the system for the state of a connection, one of unix.BPF_TCP_*.
+func tcpState(fd int) (uint8, error) {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, err
+	}
+	return info.State, nil
+}
+
+// learn finds out on a live connection whether states can be trusted.
+func (s *connStates) learn(c net.Conn) {
+	if !s.trusted.Load() {
+		s.state(c)
+	}
+}
+
+func (s *connStates) state(c net.Conn) (state uint8, err error) {
+	tcp, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errNoTCP
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) { state, failed = s.tcpState(int(fd)) })
+	if err = errors.Join(err, failed); err != nil {
+		return 0, err
+	}
+	if state == unix.BPF_TCP_ESTABLISHED {
+		s.trusted.Store(true)
+	}
+	return state, nil
+}
+
+// peerGone reports whether the peer is known to have gone. Where the state of a connection cannot be had it is read as
+// far as that takes nothing: an end behind unread bytes is not seen then.
+func (s *connStates) peerGone(c net.Conn) bool {
+	state, err := s.state(c)
+	if err == nil && s.trusted.Load() {
+		switch state {
+		case unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING, unix.BPF_TCP_TIME_WAIT,
+			unix.BPF_TCP_CLOSE:
+			return true
+		}
+		return false
+	}
+	if errors.Is(err, errNoTCP) {
+		return false
+	}
+	open, _ := peek(c)
+	return !open
+}
+
+// clientGone reports whether the guest is known to have gone.
+func (g *guest) clientGone(states *connStates) bool { return states.peerGone(g.Conn) }
+
+// clientGone reports whether the client is known to have gone.
+func (c *headConn) clientGone(states *connStates) bool {
+	g, ok := c.Conn.(*guest)
+	return ok && g.clientGone(states)
+}
+
+// clientWatch tells when to look whether the client of a request has gone. net/http sees an end only while it reads:
+// once it has taken a byte that follows a request it reads no more until that is answered.
+type clientWatch struct {
+	conn  *headConn // nil: not known
+	every time.Duration
+	timer *time.Timer
+	look  <-chan time.Time // it is time to
+	ahead <-chan struct{}  // something was read
+}
+
+func newClientWatch(conn *headConn, every time.Duration) *clientWatch {
+	w := &clientWatch{conn: conn, every: every}
+	if conn != nil {
+		w.timer = time.NewTimer(every)
+		w.look, w.ahead = w.timer.C, conn.ahead
+	}
+	return w
+}
+
+func (w *clientWatch) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// again sets the time for the next look.
+func (w *clientWatch) again() { w.timer.Reset(w.every) }
+
+// gone reports whether the call's client has gone. While its connection is being read that is for who reads to tell,
+// and the next look comes after something was read.
+func (w *clientWatch) gone(c *call) bool {
+	if w.conn.reading() {
+		return false
+	}
+	if c.gone() {
+		return true
+	}
+	w.again()
+	return false
+}
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -22,7 +22,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &headConn{Conn: c, since: time.Now()}, nil
+	if g, ok := c.(*guest); ok {
+		systemStates.learn(g.Conn)
+	}
+	return &headConn{Conn: c, since: time.Now(), ahead: make(chan struct{}, 1)}, nil
 }
 
 // headConn keeps a request's head as it came. net/http drops a Content-Length that stands beside a
@@ -35,12 +38,25 @@
 	head  []byte
 	whole bool
 	since time.Time // the request's begin: its first byte, or the connection's begin
+	reads int       // that are waiting
+
+	ahead chan struct{} // a token: something was read; nil: nobody wants to know
 }
 
 func (c *headConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	c.reads++
+	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reads--
+	if n > 0 {
+		select {
+		case c.ahead <- struct{}{}:
+		default:
+		}
+	}
 	if n > 0 && c.since.IsZero() {
 		c.since = time.Now()
 	}
@@ -53,6 +69,13 @@
 	return n, err
 }
 
+// reading reports whether somebody waits for what comes, and so sees an end.
+func (c *headConn) reading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reads > 0
+}
+
 // next drops the head: its request has been answered.
 func (c *headConn) next() {
 	if g, ok := c.Conn.(*guest); ok {
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -49,6 +50,9 @@
 	maxTaken atomic.Int64 // requests at a time
 
 	peerWait, writeWait time.Duration
+
+	states     *connStates   // of clients' connections; nil: systemStates
+	clientPoll time.Duration // 0: clientPoll
 }
 
 func (f *frontend) server() *http.Server {
@@ -173,6 +177,8 @@
 		f.figures.inFlight.Add(1)
 	}
 	defer func() { f.figures.inFlight.Add(-counted) }()
+	watch := newClientWatch(f.watchClient(r, c), cmp.Or(f.clientPoll, clientPoll))
+	defer watch.stop()
 	var fed chan error // nil: the body is whole
 	if u := c.out.upload; u != nil {
 		control.EnableFullDuplex()
@@ -190,6 +196,7 @@
 	f.post(arrival{c})
 	var a answer
 	var failed error // it was no request after all
+	var unheard bool // its client has gone
 	for decided := false; !decided; {
 		select {
 		case a = <-c.answers:
@@ -203,24 +210,35 @@
 			}
 			failed = err
 		case <-r.Context().Done():
-			if fed != nil {
-				failed = <-fed // who broke off tells how
-				fed = nil
+			unheard = true
+		case <-watch.ahead:
+			watch.again()
+			continue
+		case <-watch.look:
+			if !watch.gone(c) {
+				continue
 			}
+			unheard = true
 		case <-guard.C:
 			// The module owes an answer and gave none: a bug, but the client is not left without one.
 			a = answer{status: statusTimedOut}
 		}
 		decided = true
 		if !c.finish() {
-			a = <-c.answers
+			a, unheard = <-c.answers, false
 			continue
 		}
 		f.post(hangUp{c})
-		switch {
-		case a.status != 0:
+		if a.status != 0 {
 			slog.Error("no answer from the module in time", "request", r.Header.Get("X-Request-ID"))
-		case failed == nil:
+		}
+	}
+	if unheard = unheard || a.unheard; unheard {
+		if fed != nil { // who broke off tells how
+			c.out.upload.drop()
+			failed, fed = <-fed, nil
+		}
+		if failed == nil {
 			f.figures.count(c.ev.Class, statusFailed)
 			return
 		}
@@ -250,6 +268,20 @@
 	}
 }
 
+// watchClient lets a call learn that its client has gone.
+func (f *frontend) watchClient(r *http.Request, c *call) *headConn {
+	conn, ok := r.Context().Value(connKey{}).(*headConn)
+	if !ok {
+		return nil
+	}
+	states := f.states
+	if states == nil {
+		states = systemStates
+	}
+	c.clientGone = func() bool { return r.Context().Err() != nil || conn.clientGone(states) }
+	return conn
+}
+
 // pass writes an answer as it comes. One that breaks off ends its connection, so that the client can tell.
 func (f *frontend) pass(w http.ResponseWriter, r *http.Request, c *call, a answer) {
 	control := http.NewResponseController(w)
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -43,6 +43,9 @@
 	deadline time.Time     // zero while its body is still coming
 	answers  chan answer   // takes the loop's answer without blocking
 
+	clientGone func() bool // reports without waiting whether the client is known to have gone; nil: unknown
+	left       atomic.Bool // it has
+
 	final   atomic.Bool
 	writing sync.Mutex // held from the last check before an attempt's first byte to its last byte
 
@@ -53,6 +56,14 @@
 // finish reports whether the caller is the one to answer.
 func (c *call) finish() bool { return c.final.CompareAndSwap(false, true) }
 
+// gone reports whether the client is known to have gone. One that has does not come back.
+func (c *call) gone() bool {
+	if c.clientGone != nil && !c.left.Load() && c.clientGone() {
+		c.left.Store(true)
+	}
+	return c.left.Load()
+}
+
 // answer is what the client gets.
 type answer struct {
 	status      int
@@ -60,6 +71,7 @@
 	contentType string
 	body        []byte
 	stream      *stream // in place of body: it is passed on as it comes
+	unheard     bool    // in place of all else: the client has gone
 }
 
 // attempt is one send of a call to a server.
@@ -273,9 +285,7 @@
 			l.tell(now, balance.Reached{Server: ev.up.id})
 		}
 	case hangUp:
-		l.concluded(ev.call)
-		l.tell(now, balance.HangUp{Request: ev.call.ev.ID})
-		l.forget(ev.call)
+		l.takeHangUp(now, ev.call)
 	case outcome:
 		l.takeOutcome(now, ev.attempt, ev.reply)
 	case probed:
@@ -293,6 +303,13 @@
 	}
 }
 
+// takeHangUp ends a call to which nobody listens any more.
+func (l *loop) takeHangUp(now float64, c *call) {
+	l.concluded(c)
+	l.tell(now, balance.HangUp{Request: c.ev.ID})
+	l.forget(c)
+}
+
 // takeBegan makes an answer that has begun the client's.
 func (l *loop) takeBegan(now float64, a *attempt, with answer) {
 	c := a.call
@@ -315,6 +332,10 @@
 		c.answers <- r.answer
 		l.concluded(c)
 	}
+	if c.left.Load() && c.finish() { // the attempt saw it: no other is made
+		c.answers <- answer{unheard: true}
+		l.takeHangUp(now, c)
+	}
 	took := now - a.from
 	if a.took > 0 {
 		took = a.took
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -266,8 +266,8 @@
 	}
 }
 
-// errMoot: between decision and first byte the request was concluded, its time ran out or its server was
-// retired. It is checked last of all, as dialing takes time in which the list changes.
+// errMoot: between decision and first byte the request was concluded, its client left, its time ran out or its server
+// was retired. It is checked last of all, as dialing takes time in which the list changes.
 var errMoot = errors.New("not to be sent any more")
 
 // errUnfit: a kept connection was closed by its server while it was idle, or holds bytes that answer nothing.
@@ -282,6 +282,7 @@
 	look     *look         // nil: it was looked already, or no route has a say
 	expected int64         // what the head says that it counts under
 	until    time.Time     // by when the last byte has to be out; zero: by when the answer has
+	call     *call         // nil: its first byte is written, or it is a probe's
 
 	mu          sync.Mutex
 	stopped     bool
@@ -345,6 +346,10 @@
 	}
 	s.conn.SetWriteDeadline(by)
 	s.mu.Unlock()
+	if s.call != nil && s.call.gone() {
+		return 0, errMoot
+	}
+	s.call = nil
 	if s.look != nil {
 		if under, err := s.look.begin(); err != nil || under != s.expected {
 			return 0, errVoid // what the head says cannot be taken back
@@ -375,6 +380,7 @@
 		a.look.mark(req.Header, s.expected)
 	}
 	if a != nil && a.call.out.upload != nil {
+		s.call = a.call
 		if left = a.call.uploadLeft(); left <= 0 {
 			return false, errMoot
 		}
@@ -394,6 +400,9 @@
 	if err := render(&buf, req, a); err != nil {
 		return false, errMoot
 	}
+	if a != nil && a.call.gone() {
+		return false, errMoot
+	}
 	if err := s.due(); err != nil {
 		return false, err
 	}
