Tell a client that half-closed that its request failed, not an empty 200

Symptom: a client half-closes while its request waits. It counts as gone and nothing is sent on, but it reads "200 OK" with an empty body, also for a request of an unsafe class that never ran; and what it had pipelined is read as a next request.

Reason: frontend.serve returned without an answer, as nobody listens; for a handler that wrote nothing net/http writes 200.

Change: such a request ends like any that failed: 502, which ends the connection, behind the last byte of an attempt that may still be writing. To a client that closed or reset its connection the answer goes nowhere.

Measured, with -race: without the change both rows of TestHalfClosedClientIsToldOfFailure fail (200 with length 0); with it they pass.

--- a/internal/sidecar/client_gone_test.go
+++ b/internal/sidecar/client_gone_test.go
@@ -289,6 +289,30 @@
 	}
 }
 
+// A client that has half-closed has gone, but may still read: it is told that its request failed, and nothing else.
+func TestHalfClosedClientIsToldOfFailure(t *testing.T) {
+	for _, ahead := range []bool{false, true} {
+		t.Run(fmt.Sprintf("more sent %v", ahead), func(t *testing.T) {
+			s, _, dialing := atDial(t, 0)
+			client := s.leaver(t, "charge", "HTTP/1.1", "", "")
+			dialing.waitFor(t, 1)
+			if ahead {
+				client.sendAhead()
+			}
+			client.leave(ends["half-close"])
+			in := bufio.NewReader(client)
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil || resp.StatusCode != statusFailed || !resp.Close {
+				t.Fatalf("%+v, %v, want %d and the end", resp, err, statusFailed)
+			}
+			io.Copy(io.Discard, resp.Body)
+			if more, _ := io.ReadAll(in); len(more) > 0 { // its end may be a reset
+				t.Errorf("%q after the answer", more)
+			}
+		})
+	}
+}
+
 // tcpPair returns both sides of a connection.
 func tcpPair(t *testing.T) (client *net.TCPConn, server net.Conn) {
 	t.Helper()
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -233,15 +233,14 @@
 			slog.Error("no answer from the module in time", "request", r.Header.Get("X-Request-ID"))
 		}
 	}
-	if unheard = unheard || a.unheard; unheard {
+	if unheard || a.unheard {
 		if fed != nil { // who broke off tells how
 			c.out.upload.drop()
 			failed, fed = <-fed, nil
 		}
-		if failed == nil {
-			f.figures.count(c.ev.Class, statusFailed)
-			return
-		}
+		// Half a close leaves a reader, to whom a return without an answer would be 200.
+		a = answer{status: statusFailed}
+		w.Header().Set("Connection", "close")
 	}
 	// An attempt that passed its last check before the answer was decided may still be writing.
 	c.writing.Lock()
