--- a/internal/sidecar/client_gone_test.go
+++ b/internal/sidecar/client_gone_test.go
@@ -94,24 +94,24 @@
 	})
 }
 
-// gate holds whoever passes until it is opened.
-type gate struct {
+// barrier holds whoever passes until it is opened.
+type barrier struct {
 	waiting atomic.Int64
 	open    chan struct{}
 	once    sync.Once
 }
 
-func newGate() *gate { return &gate{open: make(chan struct{})} }
+func newBarrier() *barrier { return &barrier{open: make(chan struct{})} }
 
-func (g *gate) pass() {
+func (g *barrier) pass() {
 	g.waiting.Add(1)
 	<-g.open
 }
 
-func (g *gate) release() { g.once.Do(func() { close(g.open) }) }
+func (g *barrier) release() { g.once.Do(func() { close(g.open) }) }
 
 // waitFor returns once so many wait at the gate.
-func (g *gate) waitFor(t *testing.T, n int64) {
+func (g *barrier) waitFor(t *testing.T, n int64) {
 	t.Helper()
 	until(t, "the gate to be reached", func() bool { return g.waiting.Load() >= n })
 }
@@ -123,9 +123,9 @@
 )
 
 // atDial starts a sidecar with one server, to which connections come up only once the gate is open.
-func atDial(t *testing.T, poll time.Duration) (*running, *backend, *gate) {
+func atDial(t *testing.T, poll time.Duration) (*running, *backend, *barrier) {
 	t.Helper()
-	b, g := newBackend(t, "a", ok), newGate()
+	b, g := newBackend(t, "a", ok), newBarrier()
 	c := newConf(newRegistry(t).addr(), b.target).setting(`"connect_timeout_ms": 100`, longDial)
 	s := start(t, c, func(s *Sidecar) {
 		s.frontend.clientPoll = poll
@@ -240,7 +240,7 @@
 	} {
 		for name, end := range ends {
 			t.Run(how+", "+name, func(t *testing.T) {
-				answer := newGate()
+				answer := newBarrier()
 				var asked atomic.Int64
 				serve := func(c net.Conn, r *http.Request, body string) bool {
 					if asked.Add(1) > 1 {
