Answer all of a pipeline where connections are not kept

Symptom: a client sends several requests at once while many connections are open. The first is answered with Connection: close; the others have been read and are closed with no answer.

Change: a connection is not ended that way while something has come behind the request at work, or may have, as that came behind another itself. The next request that comes alone ends it. The drain is as before.

Measured, with -race: without the look both rows of TestCrowdedPipelineIsAnswered fail (unexpected EOF in place of the second answer); with it they pass.

--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -109,6 +109,38 @@
 	}
 }
 
+// behind reports whether a next request has come behind the one at work, or may have, as this came behind another.
+// length is that of its body. It does not see what comes behind a body that is still on its way.
+func (c *headConn) behind(length int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.whole {
+		return true
+	}
+	end := headEnd(c.head)
+	extra := int64(len(c.head) - end)
+	if extra != length {
+		return length >= 0 && extra > length
+	}
+	g, ok := c.Conn.(*guest)
+	if !ok {
+		return false
+	}
+	_, unread := peek(g.Conn)
+	return unread
+}
+
+// headEnd is the length of a head with its empty line, which it has.
+func headEnd(head []byte) int {
+	end := len(head)
+	for _, empty := range []string{"\n\r\n", "\n\n"} {
+		if i := bytes.Index(head, []byte(empty)); i >= 0 {
+			end = min(end, i+len(empty))
+		}
+	}
+	return end
+}
+
 func (c *headConn) began() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -76,11 +76,14 @@
 
 // ServeHTTP answers the ready check and passes requests to the loop.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.draining.Load() || f.conns.Load() >= f.maxConns.Load() {
-		w.Header().Set("Connection", "close") // between requests only: this one is answered first
+	conn, ok := r.Context().Value(connKey{}).(*headConn)
+	if ok {
+		conn.work()
 	}
-	if c, ok := r.Context().Value(connKey{}).(*headConn); ok {
-		c.work()
+	// Between requests only: this one is answered first, and so is what has come with it.
+	crowded := f.conns.Load() >= f.maxConns.Load() && !(ok && conn.behind(r.ContentLength))
+	if f.draining.Load() || crowded {
+		w.Header().Set("Connection", "close")
 	}
 	f.limitWrite(w)
 	if err := checkFraming(r); err != nil {
--- a/internal/sidecar/pipeline_test.go
+++ b/internal/sidecar/pipeline_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -67,3 +69,40 @@
 		t.Errorf("after the last answer: %v, want the end", err)
 	}
 }
+
+// Where many connections are open, one that carries many requests at once is not closed before the last is answered.
+func TestCrowdedPipelineIsAnswered(t *testing.T) {
+	const requests = 5
+	b := newBackend(t, "a", ok)
+	s := start(t, newConf(newRegistry(t).addr(), b.target))
+	s.frontend.maxConns.Store(0) // every one is too many
+	for name, body := range map[string]string{"no bodies": "", "bodies": "abc"} {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp", s.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(patience))
+			request := wireRequest("1", fmt.Sprintf("Content-Length: %d\r\n", len(body)), body)
+			if _, err := io.WriteString(c, strings.Repeat(request, requests)); err != nil {
+				t.Fatal(err)
+			}
+			in := bufio.NewReader(c)
+			for i := range requests {
+				resp, err := http.ReadResponse(in, nil)
+				if err != nil || resp.StatusCode != 200 {
+					t.Fatalf("answer %d: %+v, %v", i+1, resp, err)
+				}
+				io.Copy(io.Discard, resp.Body)
+			}
+			if _, err := io.WriteString(c, request); err != nil { // alone
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil || resp.StatusCode != 200 || !resp.Close {
+				t.Errorf("%+v, %v, want an answer that ends the connection", resp, err)
+			}
+		})
+	}
+}
