Keep SIGHUP, SIGTERM and SIGINT handled up to the very end of the program

Symptom: run() gave the signals back to the system when the drain was over (defer stop, defer signal.Stop in main.go). One that came between that and the exit ended the program by the signal, which looks like a crash, and SIGHUP must never end it.

Change: the signals stay handled; SIGHUP is handled first.

Measured: TestShutdownStandsSignalsToItsLastMoment sends all three in that moment, each time: "ended with signal: hangup" with the two lines back, passes without them. TestShutdownGoesOnThroughMoreSignals (second SIGTERM, SIGHUP and SIGINT in a drain) passed before too.

--- a/cmd/silverreel/main.go
+++ b/cmd/silverreel/main.go
@@ -21,11 +21,10 @@
 }
 
 func run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	// Unhandled these end the program, so they stay handled up to its end.
 	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP) // unhandled it would end the program
-	defer signal.Stop(reload)
+	signal.Notify(reload, syscall.SIGHUP)
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	cfg, err := sidecar.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
--- a/cmd/silverreel/main_test.go
+++ b/cmd/silverreel/main_test.go
@@ -17,9 +17,17 @@
 // The test binary stands in for the program where this is set.
 const asProgram = "SILVERREEL_TEST_AS_PROGRAM"
 
+// Where this is set, the program gets signals between the end of its work and its own.
+const signalsAtTheEnd = "SILVERREEL_TEST_SIGNALS_AT_THE_END"
+
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
 		main()
+		if os.Getenv(signalsAtTheEnd) != "" {
+			for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT} {
+				syscall.Kill(os.Getpid(), s)
+			}
+		}
 		return
 	}
 	os.Exit(m.Run())
