Accept what waits in the listener's queue before it is closed at SIGTERM

Symptom: drain() closed the listener whatever waited in it, and a connection that the system has completed and nobody accepted is reset (README, Still open). On a busy machine that is more than microseconds: the accepting goroutine may not have run for long, or waits for a place in a full room.

Change: drain() closes the listener once its queue is empty (TCP_INFO of a listening socket tells the length; where it does not, as before), 0.1 s after SIGKILL may have come at the latest; and not while it has to wait where a newer process has the socket too. What is left open is a connection that is completed between that look and the close, two system calls.

Looked at and not taken: a socket filter that drops what opens a connection (SO_ATTACH_FILTER answers "operation not supported" on the kernel at hand, so it could not be shown to work; besides docs/on-call.md, "Ways not taken").

Measured: TestShutdownWhileConnectionsWaitToBeAccepted holds up ten connections in the queue over the end: "connection reset by peer" with the listener closed at once, ten answers with the change. TestShutdownWhileNobodyAccepts hangs with the bound in time taken out and passes with it.

--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -175,6 +175,13 @@
 	return true
 }
 
+// shares reports whether a newer process may have the listening socket.
+func (s *successors) shares() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) > 0
+}
+
 // follow gives the listening socket to a newer process and stays with it to its end.
 func (s *successors) follow(c *net.UnixConn) {
 	if err := s.hand(c); err != nil {
--- /dev/null
+++ b/internal/sidecar/listener_shutdown_test.go
@@ -0,0 +1,95 @@
+package sidecar
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// heldListener accepts nobody before the test lets it.
+type heldListener struct {
+	*net.TCPListener
+	held   chan struct{}
+	closed *atomic.Bool
+}
+
+func (l heldListener) Accept() (net.Conn, error) {
+	<-l.held
+	return l.TCPListener.Accept()
+}
+
+func (l heldListener) Close() error {
+	l.closed.Store(true)
+	return l.TCPListener.Close()
+}
+
+// Connections that the system has completed are accepted and answered before the listener closes.
+func TestShutdownWhileConnectionsWaitToBeAccepted(t *testing.T) {
+	b := newBackend(t, "a", ok)
+	held := make(chan struct{})
+	var closed, asked atomic.Bool
+	s := start(t, newConf(newRegistry(t).addr(), b.target), func(s *Sidecar) {
+		s.listener.Listener = heldListener{s.tcp, held, &closed}
+		s.unaccepted = func(l *net.TCPListener) int {
+			n := unaccepted(l)
+			asked.Store(true)
+			return n
+		}
+	})
+	until(t, "a server", func() bool { return s.loop.figures.servers.Load().ready > 0 })
+	var waiting []net.Conn
+	for range 10 {
+		c, err := net.Dial("tcp", s.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(patience))
+		if err := s.request("charge", 5*time.Second).Write(c); err != nil {
+			t.Fatal(err)
+		}
+		waiting = append(waiting, c)
+	}
+	s.term()
+	until(t, "the listener to close, or to wait for them", func() bool { return closed.Load() || asked.Load() })
+	close(held)
+	for _, c := range waiting {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("%s, close: %v", resp.Status, resp.Close)
+		}
+		c.Close()
+	}
+	if err := receive(t, "the end", s.ended); err != nil {
+		t.Error(err)
+	}
+	s.ended <- nil
+	if _, err := net.Dial("tcp", s.Addr()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("after the end a connect gets %v", err)
+	}
+}
+
+// What never is accepted does not keep the process.
+func TestShutdownWhileNobodyAccepts(t *testing.T) {
+	held := make(chan struct{})
+	var closed atomic.Bool
+	s := start(t, newConf(newRegistry(t).addr()), func(s *Sidecar) {
+		s.listener.Listener = heldListener{s.tcp, held, &closed}
+	})
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	s.term()
+	until(t, "the listener's end", closed.Load)
+	close(held)
+}
--- a/internal/sidecar/room.go
+++ b/internal/sidecar/room.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -277,6 +279,21 @@
 	return r.Listener.Close()
 }
 
+// unaccepted is how many connections are completed and wait to be accepted; 0 also where the system does not tell.
+func unaccepted(l *net.TCPListener) (waiting int) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) {
+		// Of a listening socket this is the length of its queue.
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.State == unix.BPF_TCP_LISTEN {
+			waiting = int(info.Unacked)
+		}
+	})
+	return waiting
+}
+
 // Read drops what comes to a deaf guest, up to the client's end.
 func (g *guest) Read(p []byte) (int, error) {
 	conn, ok := g.Conn.(syscall.Conn)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -60,6 +60,7 @@
 	serving     atomic.Bool
 	drainAccept time.Duration
 	listWait    time.Duration
+	unaccepted  func(*net.TCPListener) int
 
 	sharing      sync.Mutex
 	older, newer int // processes of this sidecar beside this one
@@ -121,6 +122,7 @@
 	s := &Sidecar{
 		cfg: cfg, tcp: listener.(*net.TCPListener), listener: newRoom(listener, all.clients), manager: manager, loop: l,
 		before: before, budget: all, drainAccept: drainAccept, listWait: listWait,
+		unaccepted: unaccepted,
 		frontend: &frontend{
 			cfg: cfg, post: l.post, figures: l.figures, peerWait: peerWait, writeWait: writeWait,
 		},
@@ -365,15 +367,14 @@
 		tail := now.Sub(end)
 		if open && (s.after.serve.Load() > 0 || tail >= lastWords ||
 			now.Sub(began) >= s.drainAccept && now.Sub(crossed) >= crossing) {
-			open = false
-			s.listener.Close()
+			open = !s.stopAccepting(tail >= 2*lastWords)
 		}
 		if !told && tail >= 0 {
 			told = true
 			s.loop.post(balance.End{})
 			s.loop.members.depart(lastWords) // nothing is sent to servers from here on
 		}
-		if tail >= lastWords && s.frontend.taken.Load() == 0 || tail >= longestTail {
+		if tail >= lastWords && !open && s.frontend.taken.Load() == 0 || tail >= longestTail {
 			break // what is left has never sent a whole request
 		}
 	}
@@ -386,6 +387,16 @@
 	return nil
 }
 
+// stopAccepting closes the listener, and reports whether it has. What waits in it to be accepted would be reset: it is
+// waited for, unless it has to be now, or a newer process has the socket too and takes it.
+func (s *Sidecar) stopAccepting(now bool) bool {
+	if !now && !s.after.shares() && s.unaccepted(s.tcp) > 0 {
+		return false
+	}
+	s.listener.Close()
+	return true
+}
+
 // killTime is how long after SIGTERM SIGKILL may come.
 func (s *Sidecar) killTime() time.Duration {
 	longest := 0.0
