--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"marblelane/balance"
+	"marblelane/internal/wire"
 )
 
 const (
@@ -350,7 +351,7 @@
 		case !said:
 		case len(text) > 0:
 			if err := json.Unmarshal(text, &form.list); err != nil {
-				return fmt.Errorf("discovery: %w", err)
+				return fmt.Errorf("discovery: list: %w", wire.KeyError(err))
 			}
 			form.kind = balance.ListDelta
 			if form.list.All {
