Test that an attempt and its client's end may cross

An attempt that finds its client gone, and the frontend that learns of it by itself, both end the call. The test leads the loop by hand and forces either order on real connections: the call ends once, no further attempt is made, no server gets anything, and nothing is left in the table.

--- a/internal/sidecar/client_gone_test.go
+++ b/internal/sidecar/client_gone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"marblelane/balance"
 )
 
 // never is a time between looks that no test lives to see.
@@ -423,3 +426,74 @@
 		})
 	}
 }
+
+// An attempt that sees that its client has gone and the client's own end cross: the call ends once, whoever is first,
+// and no further attempt is made.
+func TestAttemptAndHangUpCross(t *testing.T) {
+	for name, frontendFirst := range map[string]bool{"the attempt first": false, "the client's end first": true} {
+		t.Run(name, func(t *testing.T) {
+			b, other := newBackend(t, "a", ok), newBackend(t, "b", ok)
+			cfg, err := newConf(newRegistry(t).addr(), b.target, other.target).load(t)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s, err := New(cfg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			l := s.loop // led by this test, in place of run
+			ctx, cancel := context.WithCancel(t.Context())
+			t.Cleanup(func() {
+				cancel()
+				close(l.stopped)
+				l.workers.Wait()
+				l.ups.closeAll()
+				s.listener.Close()
+			})
+			l.ctx = ctx
+			now := l.clock.ms(time.Now())
+			l.act(now, l.bal.Start(now))
+			l.takeNews(now, news{kind: balance.ListCached, list: cfg.known})
+			left, looked := newGate(), &atomic.Int64{}
+			t.Cleanup(left.release)
+			r, err := http.NewRequest(http.MethodGet, "http://h/api", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for name, value := range map[string]string{
+				"X-Request-ID": "1", "X-Priority-Class": "lookup", "X-Tenant-Id": "kita", "X-Timeout-Ms": "3600000",
+			} {
+				r.Header.Set(name, value)
+			}
+			c, _, err := s.frontend.parse(nil, r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.clientGone = func() bool { looked.Add(1); left.pass(); return true }
+			l.take(now, arrival{c})
+			left.waitFor(t, 1) // the attempt has passed all other checks
+			if frontendFirst && !c.finish() {
+				t.Fatal("the call is over before its end")
+			}
+			left.release()
+			for over := false; !over; {
+				ev := receive(t, "the attempt's outcome", l.inbox)
+				_, over = ev.(outcome)
+				l.take(l.clock.ms(time.Now()), ev)
+			}
+			if told := len(c.answers) == 1; told == frontendFirst || !c.final.Load() {
+				t.Errorf("the loop ends the call: %v, final %v", told, c.final.Load())
+			}
+			l.take(l.clock.ms(time.Now()), hangUp{c}) // late, or twice
+			if n := len(l.calls); n != 0 {
+				t.Errorf("%d calls are left", n)
+			}
+			if n := looked.Load(); n != 1 || len(c.attempts) != 1 {
+				t.Errorf("%d attempts, want 1", len(c.attempts))
+			}
+			if n := b.requests.Load() + other.requests.Load(); n != 0 {
+				t.Errorf("servers got %d requests", n)
+			}
+		})
+	}
+}
