Answer all of a pipeline that was read before the drain

Symptom: a client has sent several requests at once when SIGTERM comes. The answer to the first says Connection: close; the others have been read and are closed with no answer.

Reason: ServeHTTP and serve said so without a look at what came with the request, as they did where connections are not kept.

Change: while something has come behind the request at work, or may have, the connection goes on; when it rests the drain tells it its end as it does those that rested before.

Measured, with -race: without the change TestDrainedPipelineIsAnswered fails (unexpected EOF in place of the second answer); with it it passes, as do the drains on real processes (cmd/silverreel). TestMalformedBehindAPipeline passes with and without: what is no request behind one at work was answered in order before.

--- a/internal/sidecar/frontend.go
+++ b/internal/sidecar/frontend.go
@@ -76,14 +76,11 @@
 
 // ServeHTTP answers the ready check and passes requests to the loop.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	conn, ok := r.Context().Value(connKey{}).(*headConn)
-	if ok {
-		conn.work()
+	if c, ok := r.Context().Value(connKey{}).(*headConn); ok {
+		c.work()
 	}
-	// Between requests only: this one is answered first, and so is what has come with it.
-	crowded := f.conns.Load() >= f.maxConns.Load() && !(ok && conn.behind(r.ContentLength))
-	if f.draining.Load() || crowded {
-		w.Header().Set("Connection", "close")
+	if f.draining.Load() || f.conns.Load() >= f.maxConns.Load() {
+		endAfter(w, r)
 	}
 	f.limitWrite(w)
 	if err := checkFraming(r); err != nil {
@@ -129,6 +126,13 @@
 	f.serve(w, r, c, body)
 }
 
+// endAfter ends a connection between requests only: the one at work is answered first, and so is what has come with it.
+func endAfter(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*headConn); !ok || !c.behind(r.ContentLength) {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func badStatus(err error) int {
 	switch {
 	case errors.Is(err, errBodyLarge):
@@ -256,8 +260,10 @@
 		reject(w, failed, badStatus(failed))
 		return
 	}
-	if fed != nil || f.draining.Load() { // it may have been told to end since the request came
+	if fed != nil {
 		w.Header().Set("Connection", "close")
+	} else if f.draining.Load() { // it may have been told to end since the request came
+		endAfter(w, r)
 	}
 	if a.stream != nil {
 		f.pass(w, r, c, a)
--- a/internal/sidecar/pipeline_test.go
+++ b/internal/sidecar/pipeline_test.go
@@ -106,3 +106,82 @@
 		})
 	}
 }
+
+// All of a pipeline that had been read when the drain began is answered before its connection ends.
+func TestDrainedPipelineIsAnswered(t *testing.T) {
+	answer := newGate()
+	b := newBackend(t, "a", func(c net.Conn, r *http.Request, body string) bool {
+		answer.pass()
+		return ok(c, r, body)
+	})
+	s := start(t, newConf(newRegistry(t).addr(), b.target))
+	t.Cleanup(answer.release)
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	const requests = 3
+	if _, err := io.WriteString(c, strings.Repeat(wireRequest("1", "", ""), requests)); err != nil {
+		t.Fatal(err)
+	}
+	answer.waitFor(t, 1)
+	s.term()
+	until(t, "the drain", s.frontend.draining.Load)
+	answer.release()
+	in := bufio.NewReader(c)
+	for i := range requests {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("answer %d: %+v, %v", i+1, resp, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("after the last answer: %v, want the end", err)
+	}
+}
+
+// What comes behind a request at work, and is none, is answered as such behind its answer.
+func TestMalformedBehindAPipeline(t *testing.T) {
+	for name, test := range map[string]struct {
+		next string
+		want int
+	}{
+		"no request":  {"no request\r\n\r\n", http.StatusBadRequest},
+		"no id":       {"GET /api HTTP/1.1\r\nHost: h\r\n\r\n", http.StatusBadRequest},
+		"head no end": {"GET /api HTTP/1.1\r\nX: " + strings.Repeat("x", 3*maxHeader), http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			answer := newGate()
+			b := newBackend(t, "a", func(c net.Conn, r *http.Request, body string) bool {
+				answer.pass()
+				return ok(c, r, body)
+			})
+			s := start(t, newConf(newRegistry(t).addr(), b.target))
+			t.Cleanup(answer.release)
+			client := s.leaver(t, "lookup", "HTTP/1.1", "", "")
+			answer.waitFor(t, 1)
+			if _, err := io.WriteString(client, test.next); err != nil {
+				t.Fatal(err)
+			}
+			until(t, "it to come", func() bool { _, unread := peek(client.host.Conn); return unread })
+			answer.release()
+			in := bufio.NewReader(client)
+			for _, want := range []int{200, test.want} {
+				resp, err := http.ReadResponse(in, nil)
+				if err != nil || resp.StatusCode != want {
+					t.Fatalf("%+v, %v, want %d", resp, err, want)
+				}
+				io.Copy(io.Discard, resp.Body)
+			}
+			if more, _ := io.ReadAll(in); len(more) > 0 { // its end may be a reset
+				t.Errorf("%q after the last answer", more)
+			}
+			if n := b.requests.Load(); n != 1 {
+				t.Errorf("%d requests reached the server", n)
+			}
+		})
+	}
+}
