--- a/internal/sidecar/client_gone_test.go
+++ b/internal/sidecar/client_gone_test.go
@@ -454,7 +454,7 @@
 			now := l.clock.ms(time.Now())
 			l.act(now, l.bal.Start(now))
 			l.takeNews(now, news{kind: balance.ListCached, list: cfg.known})
-			left, looked := newGate(), &atomic.Int64{}
+			left, looked := newBarrier(), &atomic.Int64{}
 			t.Cleanup(left.release)
 			r, err := http.NewRequest(http.MethodGet, "http://h/api", nil)
 			if err != nil {
--- a/internal/sidecar/pipeline_test.go
+++ b/internal/sidecar/pipeline_test.go
@@ -109,7 +109,7 @@
 
 // All of a pipeline that had been read when the drain began is answered before its connection ends.
 func TestDrainedPipelineIsAnswered(t *testing.T) {
-	answer := newGate()
+	answer := newBarrier()
 	b := newBackend(t, "a", func(c net.Conn, r *http.Request, body string) bool {
 		answer.pass()
 		return ok(c, r, body)
@@ -154,7 +154,7 @@
 		"head no end": {"GET /api HTTP/1.1\r\nX: " + strings.Repeat("x", 3*maxHeader), http.StatusRequestHeaderFieldsTooLarge},
 	} {
 		t.Run(name, func(t *testing.T) {
-			answer := newGate()
+			answer := newBarrier()
 			b := newBackend(t, "a", func(c net.Conn, r *http.Request, body string) bool {
 				answer.pass()
 				return ok(c, r, body)
