Lower the budget of cold servers by how far the fleet has cooled

To blame: coldBudget takes a server's share of the weights now, of which most are cold, of answers from up to eight aims ago, when they were warm. Ruled out by playing each: the repeats (they keep the budget), the random first tokens (a uniform phase, no rush at once), a wrong number of sharers (it moves the floor alone), processes with empty memory, starts told again, and draining while cold.

Change: the share is lowered by the mean warmth of the weights now as a part of the most that it was in the time of the answers, which fades alike. Measures of the pool's whole weight instead of its warmth were tried and left out: errors and rests moved them too, and cold servers got half of the requests that they can do.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -308,7 +308,7 @@
 // enter sets the weights of this pick, grows the running values and returns the sum of weights.
 // For a re-route as many come in from zones that nothing is held against as are in the rotation.
 func (b *Balancer) enter(r *request, repeat, all bool) float64 {
-	total, fresh, rooms := 0.0, false, [2]int{b.reach(), b.reach()}
+	total, warm, fresh, rooms := 0.0, 0.0, false, [2]int{b.reach(), b.reach()}
 	for _, s := range b.servers {
 		s.weight = 0
 		room := &rooms[0]
@@ -321,6 +321,7 @@
 		*room--
 		s.weight = b.weight(s)
 		total += s.weight
+		warm += s.weight / b.warmth(s)
 		s.known = b.fresh(s)
 		fresh = fresh || s.known
 	}
@@ -330,8 +331,8 @@
 			s.running = math.Min(s.running+s.weight, total)
 		}
 	}
-	if !repeat {
-		b.pool = total
+	if !repeat && total > 0 {
+		b.pool.follow(b.now, paceAims*b.longestAim, total, total/warm)
 	}
 	return total
 }
@@ -409,13 +410,13 @@
 }
 
 // coldBudget is a hard limit of sends to a cold server, re-routes included: half of the allowed multiple of
-// what warm servers of its size answer of this sidecar's requests, lowered by its warmth, so that all of them
-// together stay under it; but no less than its part if all were alike, as a size only says whom this sidecar
-// prefers. Answers count, not requests, which clients repeat in overload, and few are assumed: with thirty,
-// small sidecars broke the rule; the processes of one sidecar assume them together. Along a route, which may
-// bring all sidecars at once, it is the part if all were alike, and idle time gathers nothing for a rush.
+// what warm servers of its size answer of this sidecar's requests, lowered by its warmth; no less than its
+// part if all were alike, as a size only says whom this sidecar prefers. Answers count, not requests, which
+// clients repeat, and few are assumed, by all processes of a sidecar together. They tell of a while ago: if
+// servers were warmer then it is less by as much. Along a route it is the part if all were alike, and idle
+// time gathers nothing, as a route may bring all sidecars at once.
 func (b *Balancer) coldBudget(s *server) bool {
-	share := s.weight / math.Max(b.pool, s.weight) * math.Max(1, b.cfg.FallMultiple/2)
+	share := s.weight / math.Max(b.pool.weight, s.weight) * b.pool.cooled * math.Max(1, b.cfg.FallMultiple/2)
 	span := b.now - s.tokensAt
 	if b.along {
 		share, span = 0, math.Min(span, b.cfg.FallTime)
--- a/balance/routes_test.go
+++ b/balance/routes_test.go
@@ -747,13 +747,13 @@
 	if n := testing.AllocsPerRun(100, func() { r.drawn = false; g.b.pick(r, false) }); n > 0 {
 		t.Errorf("%v allocations", n)
 	}
-	g.b.pool = 321
+	g.b.pool.weight = 321
 	for i, s := range g.b.servers {
 		s.running = float64(i)
 	}
 	g.b.pick(r, false)
 	for i, s := range g.b.servers {
-		if s.running != float64(i) || s.aside || g.b.pool != 321 || g.b.along {
+		if s.running != float64(i) || s.aside || g.b.pool.weight != 321 || g.b.along {
 			t.Errorf("after a pick %+v, pool %v", s, g.b.pool)
 		}
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -30,7 +30,7 @@
 
 	servers []*server // those listed, in this sidecar's own order
 	byID    map[ServerID]*server
-	pool    float64         // sum of weights at the last first pick
+	pool    pool            // what the last first pick chose from
 	kinds   map[int]float64 // learned logarithm of size by kind
 	zones   map[int]float64 // ... and by zone
 	areas   []*zone         // in the order in which they were first listed
@@ -66,6 +66,19 @@
 	asked                     meter   // requests; see reach
 }
 
+// pool is what a first pick chose from.
+type pool struct {
+	weight float64 // sum of weights
+	warm   float64 // the most that their mean warmth was in the time of pace; it fades
+	at     float64
+	cooled float64 // the mean warmth now, as a part of that
+}
+
+func (p *pool) follow(now, span, weight, warm float64) {
+	p.warm = warm + math.Max(0, p.warm-warm)*math.Exp((p.at-now)/span)
+	p.weight, p.at, p.cooled = weight, now, warm/p.warm
+}
+
 // server is what this sidecar knows of one server.
 type server struct {
 	Server
