Leave a keyed repeat the time of a new connection within its window

Symptom: a repeat of a keyed request that may have run was decided up to the last moment of the window in which servers know its key. Its first byte may wait for a new connection meanwhile, for as long as connects may take (connect_timeout_ms), so it could arrive after the window and run twice.

To blame: hopeless and allowed in balance.go compared the time of the decision with the window. Looked at and sound: the window counts from the decision for the first attempt that may have run, so before its own dial, and for an open body from its last byte; attempts that never ran begin none.

Change: both compare the latest time at which a repeat that is decided now may begin.

Measured: TestARepeatLeavesWithinTheWindow fails without it (six cases of three classes sent in the last 120 ms of the window) and passes with it; go test ./balance passes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -191,14 +191,14 @@
 }
 
 func (b *Balancer) hopeless(r *request) bool { // nothing more can be sent, or waiting is no use
-	ran := 0
+	ran, begun := 0, b.now+b.cfg.ConnectTimeout // at the latest: it may need a new connection
 	for i := range r.tries {
 		a := &r.tries[i]
 		if a.clean {
 			continue
 		}
 		ran++
-		if r.class.Effect == Unsafe || r.class.Effect == Keyed && b.now >= a.sent+r.class.Window {
+		if r.class.Effect == Unsafe || r.class.Effect == Keyed && begun >= a.sent+r.class.Window {
 			return true
 		}
 	}
@@ -357,14 +357,14 @@
 		return false
 	}
 	for i := range r.tries {
-		a := &r.tries[i]
+		a, begun := &r.tries[i], b.now+b.cfg.ConnectTimeout // as in hopeless
 		if a.s == s && !a.void {
 			return false
 		}
 		if a.clean || r.class.Effect != Keyed {
 			continue
 		}
-		if b.now >= a.sent+r.class.Window || r.class.Group == GroupCell && a.s.Cell != s.Cell ||
+		if begun >= a.sent+r.class.Window || r.class.Group == GroupCell && a.s.Cell != s.Cell ||
 			r.class.Group == GroupZone && a.s.Zone != s.Zone {
 			return false
 		}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -57,6 +57,46 @@
 	}
 }
 
+// A repeat may wait for a new connection before its first byte leaves, as long as connects may take: one that was decided
+// within the window left after it, when servers may have forgotten its key.
+func TestARepeatLeavesWithinTheWindow(t *testing.T) {
+	const connect, window = 120.0, 300.0
+	cfg := baseConfig()
+	cfg.ConnectTimeout = connect
+	for i := range cfg.Classes {
+		cfg.Classes[i].Aim = cfg.Classes[i].Deadline // a re-route is worth its while to the end
+		cfg.Classes[i].Window = window
+	}
+	for _, class := range []int{safeClass, cellClass, allClass, zoneClass} {
+		for _, after := range []float64{0, 100, window - connect - 1, window - connect, window - 1, window, window + 1} {
+			g := newRig(t, cfg, fleet(8)...)
+			id, _ := g.ask(class)
+			g.now += after
+			acts := g.answer(id, 0, Failed, after)
+			if sent, may := has(acts, Send), class == safeClass || after+connect < window; sent != may {
+				t.Errorf("class %d, failed after %v ms: sent again %v, want %v", class, after, sent, may)
+			}
+		}
+	}
+}
+
+// The window begins with the first attempt that may have run: what never ran uses up none of it.
+func TestWhatNeverRanBeginsNoWindow(t *testing.T) {
+	cfg := baseConfig()
+	cfg.ConnectTimeout = 120
+	cfg.Classes[allClass].Window = 200
+	g := newRig(t, cfg, fleet(8)...)
+	id, _ := g.ask(allClass)
+	g.now += 250
+	if !has(g.answer(id, 0, ConnectFailed, 250), Send) {
+		t.Fatal("not sent again after a connect that failed")
+	}
+	g.now += 70
+	if !has(g.answer(id, 1, Failed, 70), Send) {
+		t.Error("not repeated within the window of the attempt that may have run")
+	}
+}
+
 func TestNothingIsRefusedThatMayHaveRun(t *testing.T) {
 	g := newRig(t, baseConfig(), fleet(4)...)
 	for _, class := range []int{unsafeClass, cellClass, zoneClass} {
