--- a/balance/list.go
+++ b/balance/list.go
@@ -157,9 +157,8 @@
 }
 
 // askAgain calls the next service after a growing, jittered pause; of several each is tried before it grows.
-// One that turns calls away has too many, and what it spends on calls that fail in turn is lost for all:
-// pauses grow to three of the four times AskWithin that the rules allow then. If nobody is there calls are
-// free. Config.LongestPause bounds all: on sockets a change soon counts as told, whatever call has failed.
+// One that turns calls away has too many callers: pauses grow to three of the four times AskWithin that the
+// rules allow then. Config.LongestPause bounds all: on sockets a change soon counts as told, whatever failed.
 func (b *Balancer) askAgain(ev *ServerList) {
 	lists := max(b.cfg.Lists, 1)
 	round := b.list.asks / lists
