Close a connection over unread bytes only once its last answer can have been read

Symptom: net/http closes a connection right behind its last answer (Connection: close, also by the drain or a crowd; 400, 408). Where the client has sent more by then, that is unread, the close resets the connection, and the client may lose the answer. Only a body that was not read whole waited, and without a half close, as headConn has none.

Change: guest.Close half closes a connection whose request is at work, drops what still comes, and closes it when its client has gone or after 0.2 s, as closeIdle does. Such a connection is among the first to make room (after 50 ms). An answer that broke off still closes at once (the handler did not return), as its end must not look like an orderly one. The end of the drain waits for those that are being read, 0.2 s at most.

Measured: TestShutdownOverUnreadBytes has 100 kB unread at the close, each time: "connection reset by peer" without the lingering, the answer and an orderly end with it. With the mark of a broken off answer ignored TestLongAnswerThatBreaksOff fails ("the answer looks whole").

--- a/internal/sidecar/room.go
+++ b/internal/sidecar/room.go
@@ -57,6 +57,7 @@
 	since time.Time // it came, or its last request ended; under the room's lock, as are these:
 	kept  bool      // it has had a request
 	busy  bool      // a request is at work
+	cut   bool      // its answer broke off
 	told  time.Time // when the end of the connection was sent; zero: it was not
 }
 
@@ -93,7 +94,7 @@
 		victim, wait := r.place(g)
 		switch {
 		case victim != nil:
-			victim.Close()
+			victim.end()
 		case wait == 0:
 			return
 		default:
@@ -134,7 +135,7 @@
 	now := time.Now()
 	least, oldest := 0, time.Time{}
 	for g := range r.guests {
-		if g.busy || spared[g] {
+		if g.busy && g.told.IsZero() || spared[g] {
 			continue
 		}
 		order, last := g.order(now)
@@ -161,6 +162,8 @@
 	last, begun := g.begun()
 	quiet := now.Sub(last)
 	switch {
+	case !g.told.IsZero():
+		return silent, g.told
 	case (begun || !g.kept) && quiet < youngFor:
 		return young, g.since
 	case begun:
@@ -231,7 +234,7 @@
 	}
 	r.mu.Unlock()
 	for _, g := range end {
-		g.Close()
+		g.end()
 	}
 	return more
 }
@@ -368,7 +371,62 @@
 	return g.Conn.SetReadDeadline(t)
 }
 
+// Close ends the connection. Where an answer has just been written it is half closed, and closed when its client has
+// gone, 0.2 s later at most: a close over bytes that nobody has read resets the connection, and the answer is lost.
 func (g *guest) Close() error {
+	if !g.linger() {
+		return g.end()
+	}
+	go g.drop()
+	return nil
+}
+
+// linger half closes the connection, if it has an answer that its client may not have read.
+func (g *guest) linger() bool {
+	g.room.mu.Lock()
+	defer g.room.mu.Unlock()
+	if !g.busy || g.cut || !g.told.IsZero() {
+		return false
+	}
+	g.taking.Lock()
+	defer g.taking.Unlock()
+	if open, unread := peek(g.Conn); !open && !unread {
+		return false
+	}
+	half, ok := g.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return false
+	}
+	g.heard.Store(deaf)
+	g.holding = false
+	g.told = time.Now()
+	return true
+}
+
+// drop reads what still comes, up to the client's end, and closes the connection.
+func (g *guest) drop() {
+	late := time.AfterFunc(crossing, func() { g.end() })
+	defer late.Stop()
+	g.Conn.SetReadDeadline(time.Time{})
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	for {
+		if _, err := g.Conn.Read(*buf); err != nil {
+			break
+		}
+	}
+	g.end()
+}
+
+// cutOff makes the connection end at once when it is closed: its answer is not whole.
+func (g *guest) cutOff() {
+	g.room.mu.Lock()
+	g.cut = true
+	g.room.mu.Unlock()
+}
+
+// end closes the connection, and gives its place free.
+func (g *guest) end() error {
 	g.room.mu.Lock()
 	delete(g.room.guests, g)
 	g.room.mu.Unlock()
--- a/internal/sidecar/room_shutdown_test.go
+++ b/internal/sidecar/room_shutdown_test.go
@@ -150,7 +150,7 @@
 // serveRoom serves a room through net/http, as the sidecar does.
 func serveRoom(t *testing.T, r *room, hold func(net.Conn, http.ConnState), answer http.HandlerFunc) {
 	t.Helper()
-	srv := workFromHead(&http.Server{
+	srv := followConns(&http.Server{
 		Handler: answer, ConnContext: withConn, ReadHeaderTimeout: patience,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if state == http.StateIdle {
@@ -314,3 +314,61 @@
 	}
 	resp.Body.Close()
 }
+
+// unreadBytes tells whether bytes of a client wait in the system.
+func (r *room) unreadBytes() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for g := range r.guests {
+		if _, unread := peek(g.Conn); unread {
+			return true
+		}
+	}
+	return false
+}
+
+// The last answer on a connection reaches a client that has sent more than was read, and so does the connection's end.
+func TestShutdownOverUnreadBytes(t *testing.T) {
+	for name, text := range map[string]string{
+		"asked to close": "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+		"told to close":  "GET /last HTTP/1.1\r\nHost: a\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, c := openRoom(t)
+			handled := newGate()
+			serveRoom(t, r, func(net.Conn, http.ConnState) {}, func(w http.ResponseWriter, r *http.Request) {
+				handled.come()
+				if r.URL.Path == "/last" {
+					w.Header().Set("Connection", "close")
+				}
+				io.WriteString(w, r.URL.Path)
+			})
+			if _, err := io.WriteString(c, text); err != nil {
+				t.Fatal(err)
+			}
+			receive(t, "the handler", handled.reached)
+			if _, err := c.Write(make([]byte, 100_000)); err != nil {
+				t.Fatal(err)
+			}
+			until(t, "unread bytes", r.unreadBytes)
+			close(handled.passed)
+			in := bufio.NewReader(c)
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadAll(resp.Body); err != nil || !resp.Close {
+				t.Errorf("close: %v, %v", resp.Close, err)
+			}
+			if rest, err := io.ReadAll(in); err != nil || len(rest) > 0 {
+				t.Errorf("not just the connection's end but %q, %v", rest, err)
+			}
+			// It still makes room, and does not stay for ever.
+			until(t, "its place", func() bool {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				return len(r.guests) == 0
+			})
+		})
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -289,7 +289,7 @@
 		defer s.before.conn.Close()
 		s.prepare(ctx, gone)
 	}
-	srv := workFromHead(s.frontend.server())
+	srv := followConns(s.frontend.server())
 	go func() { failed <- srv.Serve(headListener{s.listener}) }()
 	s.serving.Store(true)
 	slog.Info("ready", "name", s.cfg.Name, "management", s.ManagementAddr(), "listen", s.Addr())
@@ -311,18 +311,26 @@
 	return s.drain(srv)
 }
 
-// workFromHead makes requests count as at work once net/http has read their heads: from then on it reads ahead, and their
-// handlers may not have run yet.
-func workFromHead(srv *http.Server) *http.Server {
-	changed := srv.ConnState
+// followConns lets the room know what net/http does with its connections. A request is at work once its head has been
+// read: from then on net/http reads ahead, and its handler may not have run yet.
+func followConns(srv *http.Server) *http.Server {
+	changed, handler := srv.ConnState, srv.Handler
 	srv.ConnState = func(c net.Conn, state http.ConnState) {
 		if c, ok := c.(*headConn); ok && state == http.StateActive {
 			c.work()
 		}
-		if changed != nil {
-			changed(c, state)
-		}
+		changed(c, state)
 	}
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		whole := false
+		defer func() {
+			if c, ok := r.Context().Value(connKey{}).(*headConn); ok && !whole {
+				c.Conn.(*guest).cutOff()
+			}
+		}()
+		handler.ServeHTTP(w, r)
+		whole = true
+	})
 	return srv
 }
 
@@ -379,6 +387,9 @@
 		}
 	}
 	err := srv.Close()
+	for closed := time.Now(); !s.listener.empty() && time.Since(closed) < crossing; {
+		time.Sleep(drainStep) // answers that have just been written are being read
+	}
 	s.loop.members.leave(end.Add(lastWords))
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("drain: %w", err)
