Let a newer process take back its word that it serves when it is told to end

Symptom: both processes of an upgrade told to end at about the same time. The older one stops accepting at once where a newer one serves (drain, s.after.serve), though that one may be told to end itself and stop 0.5 s after its own signal, while clients still come to the older one's for 0.4 s: they were refused. A process that was told to end while it waited in prepare() said "serves" all the same, and the older one went at the next signal.

Change: a process that drains says so to the one before it, which then counts on it no more (limits stay shared, as it is alive); one that was told to end before it served does not say that it serves. An older program drops the new word.

--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -26,6 +26,7 @@
 const (
 	meetWait  = time.Second // for the older process to answer: it may hang, or not be one of ours
 	servesNow = 's'         // the newer one's word that it takes requests
+	endsNow   = 'e'         // and that it soon does not, as it was told to end
 	// listWait is how long the newer process waits for discovery when it knows a list that may be old: the other
 	// one serves meanwhile.
 	listWait = 1500 * time.Millisecond
@@ -117,6 +118,13 @@
 	}
 }
 
+// ends tells the predecessor that it may not count on this process any more; nobody: there is none, or it is gone.
+func (p *predecessor) ends() {
+	if p != nil {
+		p.conn.Write([]byte{endsNow})
+	}
+}
+
 // gone waits for its end.
 func (p *predecessor) gone() { io.Copy(io.Discard, p.conn) }
 
@@ -191,8 +199,9 @@
 		if _, err := io.ReadFull(c, word[:]); err == nil && word[0] == servesNow {
 			slog.Info("upgrade: the next process serves")
 			s.serve.Add(1)
-			io.Copy(io.Discard, c)
+			io.ReadFull(c, word[:]) // it ends, or is gone
 			s.serve.Add(-1)
+			io.Copy(io.Discard, c)
 		}
 	}
 	c.Close()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -293,7 +293,7 @@
 	go func() { failed <- srv.Serve(headListener{s.listener}) }()
 	s.serving.Store(true)
 	slog.Info("ready", "name", s.cfg.Name, "management", s.ManagementAddr(), "listen", s.Addr())
-	if s.before != nil {
+	if s.before != nil && ctx.Err() == nil {
 		s.before.serves()
 	}
 	if place := s.cfg.meetingPlace(); place != "" {
@@ -364,6 +364,7 @@
 func (s *Sidecar) drain(srv *http.Server) error {
 	began := time.Now()
 	s.frontend.draining.Store(true)
+	s.before.ends()
 	slog.Info("draining")
 	end := began.Add(s.killTime() - lastWords)
 	crossed := began // when a request was last likely to come again
