lab: hold every run to no attempt for a client that has left

Clients leave by close, half-close or reset (traffic.leave), all at once (fault leave), and with the first bytes of a next request behind theirs, in one write or 5 ms later (traffic.pipelined). Fault turn-away makes servers answer X-Not-Processed after a part of the time of the work.

The scenario with the next request's first bytes is not among the tests until the sidecar looks at the connection before each attempt.

--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -79,9 +79,10 @@
 	// take in turn the connections they have, so that each that stays open is sent on.
 	Closed func(sidecar int) bool
 
-	pools []pool
-	live  atomic.Int64
-	wg    sync.WaitGroup
+	pools   []pool
+	waiting waiting
+	live    atomic.Int64
+	wg      sync.WaitGroup
 }
 
 // Live is how many requests are under way.
@@ -172,6 +173,7 @@
 	number, try     int
 	id              uint64
 	patience, early time.Duration
+	told            atomic.Bool // its client is told to leave
 }
 
 func (t *try1) note(k record.Kind, e record.Event) {
@@ -199,6 +201,10 @@
 		head = fmt.Appendf(head, "Content-Length: %d\r\n", len(body))
 	}
 	message := append(append(head, "\r\n"...), body...)
+	habits := t.habits()
+	if habits.pipelined == together {
+		message = append(message, nextRequest...)
+	}
 	p := &t.l.pools[t.a.Sidecar]
 	addr := t.l.Addr(t.a.Sidecar)
 	closed := func() bool { return t.l.Closed != nil && t.l.Closed(t.a.Sidecar) }
@@ -216,7 +222,7 @@
 				return verdict{unsent: true}
 			}
 		}
-		v, again := t.over(ctx, c, p, message, sum, method)
+		v, again := t.over(ctx, c, p, message, sum, method, habits)
 		if !again || !kept {
 			return v
 		}
@@ -226,7 +232,7 @@
 }
 
 // over sends the try on one connection. again tells that it was closed without a byte of an answer.
-func (t *try1) over(ctx context.Context, c *conn, p *pool, message []byte, sum uint64, method string) (v verdict, again bool) {
+func (t *try1) over(ctx context.Context, c *conn, p *pool, message []byte, sum uint64, method string, habits habits) (v verdict, again bool) {
 	began := time.Now()
 	_ = c.SetDeadline(began.Add(t.patience)) // a closed connection says so below
 	if _, err := c.Write(message); err != nil {
@@ -235,24 +241,29 @@
 		return verdict{unsent: true}, true
 	}
 	t.note(record.Sent, record.Event{Attempt: int16(t.try), Sum: sum})
+	if habits.pipelined == later {
+		defer time.AfterFunc(nextAfter, func() { _, _ = io.WriteString(c, nextRequest) }).Stop() // on an ended connection it is lost
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if t.early > 0 {
 		_ = c.SetDeadline(began.Add(t.early))
 	}
-	if _, err := c.in.Peek(1); err != nil {
+	t.l.waiting.add(t, c)
+	_, err := c.in.Peek(1)
+	t.l.waiting.remove(t)
+	if err != nil {
 		switch {
 		case ctx.Err() != nil:
-			t.note(record.Unheard, record.Event{Note: "the run was ended"})
+			t.note(record.Unheard, record.Event{Note: record.RunEnded})
 			c.Close()
 			return verdict{}, false
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			c.Close()
 			t.note(record.Broke, record.Event{Note: "no byte of an answer: " + err.Error()})
 			return verdict{}, true
-		case t.early > 0:
-			c.Close()
-			t.note(record.GaveUp, record.Event{})
+		case t.early > 0 || t.told.Load():
+			t.leave(c, habits.leave)
 			return verdict{}, false
 		}
 		t.note(record.Overdue, record.Event{})
@@ -270,7 +281,7 @@
 	}
 	_ = c.SetDeadline(time.Now().Add(max(t.patience, time.Second)))
 	v, keep := t.answer(c, method)
-	if !keep {
+	if !keep || habits.pipelined != never {
 		c.Close()
 		return v, false
 	}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -141,6 +141,10 @@
 		})
 	case "reset-begun":
 		return behave(func(b *stock.Behaviour, on bool) { b.Reset = size(on) })
+	case "turn-away":
+		return behave(func(b *stock.Behaviour, on bool) { b.Turn = size(on) })
+	case "leave":
+		return once(func(context.Context) error { r.load.Leave(p.Sidecars, f.Size); return nil })
 	case "kill":
 		return once(func(context.Context) error { return r.each(p.Servers, r.killServer) })
 	case "restart":
--- /dev/null
+++ b/internal/lab/held.go
@@ -0,0 +1,26 @@
+package lab
+
+import (
+	"marblelane/internal/lab/invariant"
+	"marblelane/internal/lab/scenario"
+)
+
+// heldBack are the times in which links between sidecars and servers hold back what is sent on them.
+func heldBack(p *scenario.Plan) []invariant.Held {
+	var all []int
+	for i := range p.Sidecars {
+		all = append(all, i)
+	}
+	var held []invariant.Held
+	for _, one := range p.Faults {
+		h := invariant.Held{From: one.At, To: one.Until, Sidecars: one.Sidecars, Servers: one.Servers}
+		switch {
+		case one.Fault.Kind == "vanish":
+			h.Sidecars = all
+		case one.Fault.Link == "discovery", one.Fault.Kind != "cut" && one.Fault.Kind != "bandwidth":
+			continue
+		}
+		held = append(held, h)
+	}
+	return held
+}
--- /dev/null
+++ b/internal/lab/invariant/clients_test.go
@@ -0,0 +1,44 @@
+package invariant
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"marblelane/internal/lab/record"
+)
+
+// An attempt that begins after its client has left breaks a rule; one that was under way, or that a link held back, does not.
+func TestNothingIsSentForAClientThatHasLeft(t *testing.T) {
+	client := func(at int, kind record.Kind, note string) record.Event {
+		return record.Event{T: millis(at), Kind: kind, Request: 7, Server: record.Nobody, Note: note}
+	}
+	frozen := []record.Event{process(400, Frozen), process(1500, Thawed)}
+	held := []Held{{From: millis(300), To: millis(900), Sidecars: []int{0}, Servers: []int{3}}}
+	for name, c := range map[string]struct {
+		left   record.Event
+		more   []record.Event
+		send   int
+		held   []Held
+		broken bool
+	}{
+		"before":                {client(500, record.GaveUp, ""), nil, 400, nil, false},
+		"right after":           {client(500, record.GaveUp, ""), nil, 640, nil, false},
+		"later":                 {client(500, record.GaveUp, ""), nil, 660, nil, true},
+		"after the listening":   {client(500, record.Unheard, "i/o timeout"), nil, 660, nil, true},
+		"at the end of the run": {client(500, record.Unheard, record.RunEnded), nil, 660, nil, false},
+		"answered":              {client(500, record.Answered, ""), nil, 660, nil, false},
+		"frozen then":           {client(500, record.GaveUp, ""), frozen, 1600, nil, false},
+		"long after it woke":    {client(500, record.GaveUp, ""), frozen, 1700, nil, true},
+		"held back":             {client(500, record.GaveUp, ""), nil, 900, held, false},
+		"after what held back":  {client(500, record.GaveUp, ""), nil, 1000, held, true},
+		"on another link":       {client(500, record.GaveUp, ""), nil, 900, []Held{{To: time.Second, Sidecars: []int{0}, Servers: []int{4}}}, true},
+	} {
+		events := append([]record.Event{process(0, Started), process(1, Serving), client(100, record.Sent, ""), c.left, send(c.send)}, c.more...)
+		slices.SortStableFunc(events, func(a, b record.Event) int { return int(a.T - b.T) })
+		got := Check(events, Facts{Unsafe: []bool{false}, MaxAttempts: 3, Held: c.held}).Broken()
+		if slices.Contains(got, ClientGone) != c.broken {
+			t.Errorf("%s: broken are %v", name, got)
+		}
+	}
+}
--- a/internal/lab/invariant/invariant.go
+++ b/internal/lab/invariant/invariant.go
@@ -24,6 +24,7 @@
 	Cold        = "cold"          // no cold server is pushed over
 	Body        = "body"          // a served body is the one a server made for this request
 	LimitsKept  = "limits"        // no copy goes over its memory or descriptors, or ends unasked
+	ClientGone  = "client-gone"   // no attempt begins for a client that has left
 	slack       = 50 * time.Millisecond
 	mostPrinted = 3 // breaches of a rule whose paths are kept
 	// endSlack is how much sooner a client may see its connection end than the process is known to have ended: the
@@ -43,6 +44,9 @@
 	// SparedTerm is how long after SIGTERM a request may come and still be found unanswered by SIGKILL.
 	SparedTerm time.Duration
 	Routes     *Routes // nil: there are none
+	// Latency is the longest time one way between a sidecar and a server.
+	Latency time.Duration
+	Held    []Held // what links hold back
 }
 
 // Breach is one rule broken.
@@ -223,7 +227,7 @@
 		case record.Broke:
 			broke, lost = true, e.T
 		case record.Unheard:
-			unheard, lost = e.Note != "the run was ended", e.T
+			unheard, lost = e.Note != record.RunEnded, e.T
 		case record.SecondWord:
 			second = true
 		case record.Stray:
@@ -251,6 +255,7 @@
 		c.out.Checked[NoStray]++
 	}
 	c.attempts(id, path, attempts, runs, unsafe)
+	c.clients(id, path)
 	c.out.Checked[OneAnswer]++
 	from := sent[0].T
 	owner := sent[0].Sidecar
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -132,6 +132,7 @@
 	members  *members                 // what lies between members; nil: there is no membership
 	sidecars []*sidecar
 	tampers  []*tamper
+	load     *client.Load
 	boots    []atomic.Int64 // when each server started last, Unix ms; 0: before the run
 
 	overheardBy atomic.Pointer[repeater]
@@ -333,18 +334,18 @@
 	}
 	playing, done := context.WithCancel(ctx)
 	defer done()
+	r.load = &client.Load{Plan: r.plan, Log: r.log, Book: r.book, Addr: r.addr, Closed: r.closedTo}
 	var lag []time.Duration
 	r.wg.Go(func() { lag = heartbeat(playing) })
 	r.wg.Go(func() { r.sample(playing) })
 	r.wg.Go(func() { r.faults(playing, began) })
-	load := &client.Load{Plan: r.plan, Log: r.log, Book: r.book, Addr: r.addr, Closed: r.closedTo}
-	r.wg.Go(func() { r.progress(playing, began, load) })
+	r.wg.Go(func() { r.progress(playing, began) })
 	if r.s.Routed() {
 		o := newRollouts(r, began)
 		r.rollouts.Store(o) // sidecars ask already
 		r.wg.Go(func() { o.play(playing) })
 	}
-	lates := load.Run(ctx)
+	lates := r.load.Run(ctx)
 	r.overheardBy.Store(nil)
 	done()
 	r.wg.Wait()
@@ -383,7 +384,7 @@
 	facts := invariant.Facts{
 		MaxAttempts: s.Rules.MaxAttempts, DrainGrace: s.Rules.DrainGrace.Of(),
 		MemoryMB: s.Sidecars.MemoryMB, Sockets: s.Sidecars.Sockets, SparedTerm: scenario.SparedTerm,
-		Routes: routes,
+		Routes: routes, Latency: p.LongestLatency(), Held: heldBack(p),
 	}
 	for _, c := range s.Classes {
 		facts.Unsafe = append(facts.Unsafe, c.Effect == "unsafe")
@@ -532,7 +533,7 @@
 }
 
 // progress says now and then how far the run is.
-func (r *run) progress(ctx context.Context, began time.Duration, load *client.Load) {
+func (r *run) progress(ctx context.Context, began time.Duration) {
 	if r.o.Progress == nil {
 		return
 	}
@@ -542,7 +543,7 @@
 		select {
 		case <-t.C:
 			fmt.Fprintf(r.o.Progress, "%5.1f of %.0f s, %d requests under way\n",
-				(r.log.Now() - began).Seconds(), r.s.Length.Of().Seconds(), load.Live())
+				(r.log.Now() - began).Seconds(), r.s.Length.Of().Seconds(), r.load.Live())
 		case <-ctx.Done():
 			return
 		}
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -23,7 +23,7 @@
 	Broke                      // Request, Sidecar, Note: its connection ended without a whole answer
 	Overdue                    // Request, Sidecar: its time is over; the client listens on for a while
 	Unheard                    // Request, Sidecar: ... and heard nothing, or was cut short by the end of the run
-	GaveUp                     // Request, Sidecar: the client closed early
+	GaveUp                     // Request, Sidecar, Note (how): the client left early
 	Unsent                     // Request, Sidecar, Note: it could not be written whole
 	SecondWord                 // Request, Sidecar: bytes after a whole answer that no request asked for
 	// Of servers.
@@ -68,6 +68,9 @@
 // String names the kind in a path of events.
 func (k Kind) String() string { return names[k] }
 
+// RunEnded is the note of an Unheard event whose client was cut short by the end of the run.
+const RunEnded = "the run was ended"
+
 // Nobody stands where an event has no sidecar, server or class.
 const Nobody = -1
 
--- /dev/null
+++ b/internal/lab/scenario/leave.go
@@ -0,0 +1,26 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// How a client leaves before its answer.
+const (
+	LeaveClose     = "close"      // it closes the connection
+	LeaveHalfClose = "half-close" // it ends its sending and reads what comes
+	LeaveReset     = "reset"      // it resets the connection
+)
+
+// LeaveWays lists the ways in which a client leaves early.
+func LeaveWays() []string { return []string{LeaveClose, LeaveHalfClose, LeaveReset} }
+
+func (s *Scenario) checkLeave(bad func(string, string, ...any) *keyError) *keyError {
+	for i, way := range s.Traffic.Leave {
+		if !slices.Contains(LeaveWays(), way) {
+			return bad(fmt.Sprintf("traffic.leave[%d]", i), "%q is no way to leave; they are %s", way, strings.Join(LeaveWays(), ", "))
+		}
+	}
+	return nil
+}
--- a/internal/lab/scenario/plan.go
+++ b/internal/lab/scenario/plan.go
@@ -524,6 +524,19 @@
 	return n.Cross
 }
 
+// LongestLatency is the longest time one way between a sidecar and a server in the run, faults counted in.
+func (p *Plan) LongestLatency() time.Duration {
+	n := &p.Scenario.Network
+	longest := max(n.Same.Of(), n.Cross.Of())
+	if len(n.Regions) > 0 {
+		longest = max(longest, n.Far.Of())
+	}
+	for _, f := range p.Faults {
+		longest = max(longest, f.Fault.Latency.Of())
+	}
+	return time.Duration(float64(longest) * (1 + n.Jitter))
+}
+
 // Settings is the object that the platform gives a sidecar, as its pages describe it.
 func (p *Plan) Settings(i int) map[string]any {
 	s := p.Scenario
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -125,6 +125,8 @@
 	TryShare  float64  `toml:"try_share"` // of a class's deadline, after which a try is given up
 	Honour    float64  `toml:"honour"`    // share of clients that obey Retry-After
 	Impatient float64  `toml:"impatient"` // share of tries whose client closes early
+	Leave     []string `toml:"leave"`     // how clients that leave early do so, one drawn for each: LeaveWays; empty: LeaveClose
+	Pipelined float64  `toml:"pipelined"` // share of tries with the first bytes of a next request behind them
 	Answer    int      `toml:"answer"`    // bytes
 }
 
@@ -277,6 +279,7 @@
 		"accept-late": {servers: true, sidecars: true, lasts: true, sized: true, size: [2]float64{0.001, 60}},
 		"idle-close":  {servers: true, lasts: true, sized: true, size: [2]float64{0.01, 600}},
 		"reset-begun": {servers: true, lasts: true, sized: true, size: [2]float64{0, 1}},
+		"turn-away":   {servers: true, lasts: true, sized: true, size: [2]float64{0, 1}},
 
 		"sidecar-kill":    {sidecars: true, lasts: true},
 		"sidecar-restart": {sidecars: true},
@@ -294,6 +297,7 @@
 		"list-freeze":     {sidecars: true, lasts: true},
 		"list-big":        {sidecars: true, lasts: true},
 		"burst":           {lasts: true, sized: true, size: [2]float64{0, 100}},
+		"leave":           {sidecars: true, sized: true, size: [2]float64{0, 1}},
 
 		"copy-kill":           {copies: true, lasts: true},
 		"copy-freeze":         {copies: true, lasts: true},
@@ -358,6 +362,9 @@
 	or(&s.Traffic.Pace, 1)
 	or(&s.Traffic.TryShare, 0.5)
 	or(&s.Traffic.Answer, 1200)
+	if len(s.Traffic.Leave) == 0 {
+		s.Traffic.Leave = []string{LeaveClose}
+	}
 	or(&s.Discovery.Notice, Duration(2*time.Second))
 	or(&s.Discovery.SilentNotice, Duration(6*time.Second))
 	or(&s.Discovery.Add, Duration(1500*time.Millisecond))
@@ -485,6 +492,7 @@
 		{"traffic.retries", float64(s.Traffic.Retries), 0, 10}, {"traffic.backoff", float64(s.Traffic.Backoff), 0, inf},
 		{"traffic.try_share", s.Traffic.TryShare, 0.01, 1}, {"traffic.honour", s.Traffic.Honour, 0, 1},
 		{"traffic.impatient", s.Traffic.Impatient, 0, 1}, {"traffic.answer", float64(s.Traffic.Answer), 0, 32 << 20},
+		{"traffic.pipelined", s.Traffic.Pipelined, 0, 1},
 		{"discovery.notice", float64(s.Discovery.Notice), 0, inf}, {"discovery.add", float64(s.Discovery.Add), 0, inf},
 		{"discovery.silent_notice", float64(s.Discovery.SilentNotice), 0, inf},
 		{"discovery.spread", float64(s.Discovery.Spread), 0, inf},
@@ -598,6 +606,9 @@
 }
 
 func (s *Scenario) checkTraffic(bad func(string, string, ...any) *keyError) *keyError {
+	if e := s.checkLeave(bad); e != nil {
+		return e
+	}
 	names := map[string]bool{}
 	for i, c := range s.Classes {
 		key := fmt.Sprintf("class[%d]", i)
--- a/internal/lab/stock/server.go
+++ b/internal/lab/stock/server.go
@@ -101,6 +101,7 @@
 	Drop  float64 // share of requests whose answer is never sent
 	Drain bool    // turns all new requests away
 	Reset float64 // share of requests whose connection is reset while they are worked on
+	Turn  float64 // share of requests that are turned away, after a part of the time of their work
 	// FailOf and HeavyOf are the classes of requests that Fail and Heavy concern; empty: all.
 	FailOf, HeavyOf []int
 	Heavy           float64 // times the work of these requests; 0: as it is
@@ -446,6 +447,10 @@
 		s.finish(v, 500, nil, "")
 		return
 	}
+	if s.chance(b.Turn) {
+		time.AfterFunc(s.part(ask.Work), func() { turn("full") })
+		return
+	}
 	dropped := s.chance(b.Drop) || v.conn.Loses()
 	work := ask.Work
 	if ask.Vary != nil {
@@ -460,9 +465,8 @@
 	resets := s.chance(b.Reset)
 	j.began = func() {
 		v.note(record.Ran, 0, 0)
-		if resets { // somewhere in the work, as if it had the server to itself
-			alone := work / s.spec.Speed * float64(time.Millisecond)
-			time.AfterFunc(time.Duration(s.draw()*alone), func() { v.reset() })
+		if resets {
+			time.AfterFunc(s.part(work), func() { v.reset() })
 		}
 	}
 	j.done = func(ran bool) {
@@ -515,6 +519,12 @@
 	}
 }
 
+// part draws a time within a work, as if it had the server to itself.
+func (s *Server) part(work float64) time.Duration {
+	alone := work * max(s.behave.Load().Slow, 1) / s.spec.Speed
+	return time.Duration(s.draw() * alone * float64(time.Millisecond))
+}
+
 func (s *Server) draw() float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
