lab: hold every run to the time that attempts tell their servers

Servers write down what they are told, clients what they say, and rule time-told compares both on each attempt, first or further; what came while a copy was frozen counts from when it wakes. defects/tell-whole sends a request again 1.5 s later with the time that the first attempt told, and breaks this rule alone (TestPlantedDefectsAreCaught).

--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -176,6 +176,9 @@
 	told            atomic.Bool // its client is told to leave
 }
 
+// waitMS is the time that the client says it waits, in milliseconds.
+func (t *try1) waitMS() int64 { return max(t.patience.Milliseconds(), 1) }
+
 func (t *try1) note(k record.Kind, e record.Event) {
 	e.Kind, e.Request, e.Sidecar = k, t.id, int32(t.a.Sidecar)
 	e.Server, e.Class, e.N = record.Nobody, int16(t.a.Class), max(e.N, int64(t.number))
@@ -193,7 +196,7 @@
 	sum := record.Sum(body)
 	t.l.Book.Add(t.id, stock.Ask{Method: method, Class: t.a.Class, Tenant: t.a.Tenant, Sum: sum, Work: t.a.Work, Vary: class.Vary, Answer: s.Traffic.Answer})
 	head := fmt.Appendf(nil, "%s /api HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: %016x\r\nX-Priority-Class: %s\r\nX-Tenant-Id: %s\r\nX-Timeout-Ms: %d\r\n",
-		method, t.id, class.Name, s.Tenants[t.a.Tenant].Name, max(t.patience.Milliseconds(), 1))
+		method, t.id, class.Name, s.Tenants[t.a.Tenant].Name, t.waitMS())
 	if s.Routed() && !t.a.Keyless {
 		head = fmt.Appendf(head, "X-Route-Key: %016x\r\n", t.a.Seed) // the same on each try
 	}
@@ -240,7 +243,7 @@
 		t.note(record.Unsent, record.Event{Note: "write: " + err.Error()})
 		return verdict{unsent: true}, true
 	}
-	t.note(record.Sent, record.Event{Attempt: int16(t.try), Sum: sum})
+	t.note(record.Sent, record.Event{Attempt: int16(t.try), Sum: sum, Work: float64(t.waitMS())})
 	if habits.pipelined == later {
 		defer time.AfterFunc(nextAfter, func() { _, _ = io.WriteString(c, nextRequest) }).Stop() // on an ended connection it is lost
 	}
--- a/internal/lab/invariant/clients.go
+++ b/internal/lab/invariant/clients.go
@@ -7,6 +7,9 @@
 	"marblelane/internal/lab/record"
 )
 
+// tellSlack is by how much the time that an attempt tells its server may be over what its client has left.
+const tellSlack = 150 * time.Millisecond
+
 // leaveGrace is how long after its client has left a request may still be sent to a server.
 const leaveGrace = 100 * time.Millisecond
 
@@ -25,12 +28,16 @@
 	})
 }
 
-// clients checks what a request's attempts owe its client: none begins after it has left.
+// clients checks what a request's attempts owe its client: none begins after it has left, and none tells a longer time than it
+// still waits.
 func (c *checker) clients(id uint64, path []int) {
+	var sent record.Event // the last time
 	left := forever
 	for _, i := range path {
 		e := c.events[i]
 		switch e.Kind {
+		case record.Sent:
+			sent = e
 		case record.GaveUp:
 			left = min(left, e.T)
 			c.out.Checked[ClientGone]++
@@ -40,6 +47,7 @@
 			}
 		case record.FirstByte:
 			c.afterLeave(id, path, e, left)
+			c.timeTold(id, path, e, sent)
 		}
 	}
 }
@@ -49,15 +57,33 @@
 	if left >= attempt.T || c.held(attempt) {
 		return
 	}
-	// A frozen copy learns of it when it wakes.
-	noticed := left
-	for _, s := range c.paused[attempt.Sidecar] {
-		if s.meets(left, attempt.T) {
-			noticed = max(noticed, s.to)
-		}
-	}
-	if attempt.T > noticed+leaveGrace+slack+c.facts.Latency {
+	if noticed := c.awake(attempt.Sidecar, left, attempt.T); attempt.T > noticed+leaveGrace+slack+c.facts.Latency {
 		c.breach(ClientGone, attempt.T, id, path, "sidecar %d began an attempt at server %d %.0f ms after its client had left",
 			attempt.Sidecar, attempt.Server, ms(attempt.T-left))
 	}
 }
+
+// awake is when a copy could see what came at one time, before a later one: a frozen one sees it when it wakes.
+func (c *checker) awake(sidecar int32, from, to time.Duration) time.Duration {
+	seen := from
+	for _, s := range c.paused[sidecar] {
+		if s.meets(from, to) {
+			seen = max(seen, s.to)
+		}
+	}
+	return seen
+}
+
+// timeTold checks the time that an attempt tells its server against what its client has left.
+func (c *checker) timeTold(id uint64, path []int, attempt, sent record.Event) {
+	if attempt.N == 0 || sent.Work == 0 || c.held(attempt) {
+		return
+	}
+	c.out.Checked[TimeTold]++
+	waits := time.Duration(sent.Work * float64(time.Millisecond))
+	left := c.awake(attempt.Sidecar, sent.T, attempt.T) + waits - attempt.T
+	if over := time.Duration(attempt.N)*time.Millisecond - left; over > tellSlack+c.facts.Latency {
+		c.breach(TimeTold, attempt.T, id, path, "sidecar %d told server %d that %d ms are left, %.0f ms more than its client had",
+			attempt.Sidecar, attempt.Server, attempt.N, ms(over))
+	}
+}
--- a/internal/lab/invariant/clients_test.go
+++ b/internal/lab/invariant/clients_test.go
@@ -42,3 +42,33 @@
 		}
 	}
 }
+
+// An attempt may tell no longer time than its client still waits, counted from when the copy could read the request.
+func TestAttemptsTellWhatIsLeft(t *testing.T) {
+	sent := record.Event{T: millis(100), Kind: record.Sent, Request: 7, Server: record.Nobody, Work: 1000}
+	for name, c := range map[string]struct {
+		at     int
+		told   int64
+		more   []record.Event
+		broken bool
+	}{
+		"all at once":        {101, 999, nil, false},
+		"what is left":       {600, 500, nil, false},
+		"within the slack":   {600, 650, nil, false},
+		"beyond the slack":   {600, 651, nil, true},
+		"the whole":          {600, 1000, nil, true},
+		"after its time":     {1300, 1, nil, true},
+		"nothing":            {600, 0, nil, false},
+		"frozen till then":   {600, 1000, []record.Event{process(50, Frozen), process(590, Thawed)}, false},
+		"frozen long before": {600, 1000, []record.Event{process(50, Frozen), process(99, Thawed)}, true},
+	} {
+		attempt := send(c.at)
+		attempt.N = c.told
+		events := append([]record.Event{process(0, Started), process(1, Serving), sent, attempt}, c.more...)
+		slices.SortStableFunc(events, func(a, b record.Event) int { return int(a.T - b.T) })
+		got := Check(events, Facts{Unsafe: []bool{false}, MaxAttempts: 3}).Broken()
+		if slices.Contains(got, TimeTold) != c.broken {
+			t.Errorf("%s: broken are %v", name, got)
+		}
+	}
+}
--- a/internal/lab/invariant/invariant.go
+++ b/internal/lab/invariant/invariant.go
@@ -25,6 +25,7 @@
 	Body        = "body"          // a served body is the one a server made for this request
 	LimitsKept  = "limits"        // no copy goes over its memory or descriptors, or ends unasked
 	ClientGone  = "client-gone"   // no attempt begins for a client that has left
+	TimeTold    = "time-told"     // an attempt tells its server no longer time than its client still waits
 	slack       = 50 * time.Millisecond
 	mostPrinted = 3 // breaches of a rule whose paths are kept
 	// endSlack is how much sooner a client may see its connection end than the process is known to have ended: the
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -18,7 +18,7 @@
 // The kinds of events; the comment names the fields that count beside T.
 const (
 	// Of clients; N is the number of the arrival in the plan.
-	Sent       Kind = iota + 1 // Request, Sidecar, Class, Attempt (try, from 1), Sum (body)
+	Sent       Kind = iota + 1 // Request, Sidecar, Class, Attempt (try, from 1), Sum (body), Work (ms that the client says it waits)
 	Answered                   // Request, Sidecar, Status, Sum (body), Want (the right body's sum)
 	Broke                      // Request, Sidecar, Note: its connection ended without a whole answer
 	Overdue                    // Request, Sidecar: its time is over; the client listens on for a while
@@ -27,7 +27,7 @@
 	Unsent                     // Request, Sidecar, Note: it could not be written whole
 	SecondWord                 // Request, Sidecar: bytes after a whole answer that no request asked for
 	// Of servers.
-	FirstByte   // Request, Sidecar, Server, Attempt
+	FirstByte   // Request, Sidecar, Server, Attempt, N (X-Timeout-Ms; 0: none)
 	LastByte    // Request, Sidecar, Server, Attempt, Sum (body): from here on the attempt counts
 	Turned      // Request, Sidecar, Server, Attempt: answered X-Not-Processed
 	Ran         // Request, Sidecar, Server, Attempt: its work has begun
@@ -109,6 +109,12 @@
 	case e.Attempt > 0:
 		s += fmt.Sprintf(" connection=%d", e.Attempt)
 	}
+	if e.Kind == Sent && e.Work != 0 {
+		s += fmt.Sprintf(" waits=%gms", e.Work)
+	}
+	if e.Kind == FirstByte && e.N != 0 {
+		s += fmt.Sprintf(" told=%dms", e.N)
+	}
 	if e.Status != 0 {
 		s += fmt.Sprintf(" status=%d", e.Status)
 	}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -322,6 +322,7 @@
 		"defect-send-twice":    {sidecars: true, lasts: true},
 		"defect-send-again":    {sidecars: true, lasts: true},
 		"defect-send-often":    {sidecars: true, lasts: true},
+		"defect-tell-whole":    {sidecars: true, lasts: true},
 		"defect-invent":        {sidecars: true, lasts: true},
 		"defect-lose-answer":   {sidecars: true, lasts: true},
 		"defect-answer-twice":  {sidecars: true, lasts: true},
--- a/internal/lab/stock/server.go
+++ b/internal/lab/stock/server.go
@@ -398,6 +398,11 @@
 			return stray("with the route revision " + strconv.Quote(rev))
 		}
 	}
+	if wait := req.Header.Get("X-Timeout-Ms"); wait != "" {
+		if event.N, err = strconv.ParseInt(wait, 10, 64); err != nil {
+			return stray("with the time " + strconv.Quote(wait))
+		}
+	}
 	s.log.Add(event)
 	event.Kind, event.T, event.Sum = record.LastByte, last, sum
 	s.log.Add(event)
--- a/internal/lab/tamper.go
+++ b/internal/lab/tamper.go
@@ -48,7 +48,7 @@
 		set = ""
 	}
 	switch defect {
-	case "send-twice", "send-again", "send-often", "invent":
+	case "send-twice", "send-again", "send-often", "invent", "tell-whole":
 		r.overheardBy.Store(&repeater{defect: set, sidecars: p.Sidecars})
 	case "wrong-body":
 		for _, i := range p.Servers {
@@ -98,7 +98,7 @@
 	sidecars []int
 }
 
-// repeatAfter is when a request is sent again by "send-again" and "send-often": the first has ended by then.
+// repeatAfter is when a request is sent again by "send-again", "tell-whole" and "send-often": the first has ended by then.
 const repeatAfter = 1500 * time.Millisecond
 
 // overhear sees each request that reaches a server.
@@ -113,11 +113,15 @@
 	other := r.servers[(server+1)%len(r.servers)].Port.Addr(sidecar)
 	id := req.Header.Get("X-Request-ID")
 	r.wg.Go(func() {
-		again := func(id string) { _ = repeat(other, req, id, body) } // a failed repeat is no defect
+		tells := ""
+		if rep.defect == "tell-whole" {
+			tells = "X-Timeout-Ms: " + req.Header.Get("X-Timeout-Ms") + "\r\n" // as much as when the first was sent
+		}
+		again := func(id string) { _ = repeat(other, req, id, tells, body) } // a failed repeat is no defect
 		switch rep.defect {
 		case "send-twice":
 			again(id)
-		case "send-again":
+		case "send-again", "tell-whole":
 			time.Sleep(repeatAfter)
 			again(id)
 		case "send-often":
@@ -134,16 +138,16 @@
 // mostRepeats bounds the harm: a few cases are as good as thousands.
 const mostRepeats = 5
 
-// repeat sends a request as a sidecar would and waits for its answer.
-func repeat(addr string, req *http.Request, id string, body []byte) error {
+// repeat sends a request as a sidecar would, with a header line more or none, and waits for its answer.
+func repeat(addr string, req *http.Request, id, line string, body []byte) error {
 	c, err := net.DialTimeout("tcp4", addr, time.Second)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
-	head := fmt.Sprintf("%s /api HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: %s\r\nX-Overheard: 1\r\nContent-Length: %d\r\n\r\n",
-		req.Method, id, len(body))
+	head := fmt.Sprintf("%s /api HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: %s\r\nX-Overheard: 1\r\n%sContent-Length: %d\r\n\r\n",
+		req.Method, id, line, len(body))
 	if _, err := c.Write(append([]byte(head), body...)); err != nil {
 		return err
 	}
