lab: hold every run to copies that are ready in time

Nine in ten restarted copies have to be ready within 10 s, and nothing in the lab looked at how long a start takes.

--- a/internal/lab/invariant/invariant.go
+++ b/internal/lab/invariant/invariant.go
@@ -25,6 +25,7 @@
 	Body        = "body"          // a served body is the one a server made for this request
 	LimitsKept  = "limits"        // no copy goes over its memory or descriptors, or ends unasked
 	ClientGone  = "client-gone"   // no attempt begins for a client that has left
+	ReadyInTime = "ready-in-time" // nine in ten copies that are started again are ready in time
 	TimeTold    = "time-told"     // an attempt tells its server no longer time than its client still waits
 	slack       = 50 * time.Millisecond
 	mostPrinted = 3 // breaches of a rule whose paths are kept
@@ -48,6 +49,8 @@
 	// Latency is the longest time one way between a sidecar and a server.
 	Latency time.Duration
 	Held    []Held // what links hold back
+	// ReadyWithin is how long a copy that is started again may take to be ready; 0: any time.
+	ReadyWithin time.Duration
 }
 
 // Breach is one rule broken.
@@ -129,6 +132,7 @@
 	}
 	c.drains()
 	c.rest()
+	c.ready()
 	c.routes()
 	return c.out
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -384,7 +384,7 @@
 	facts := invariant.Facts{
 		MaxAttempts: s.Rules.MaxAttempts, DrainGrace: s.Rules.DrainGrace.Of(),
 		MemoryMB: s.Sidecars.MemoryMB, Sockets: s.Sidecars.Sockets, SparedTerm: scenario.SparedTerm,
-		Routes: routes, Latency: p.LongestLatency(), Held: heldBack(p),
+		Routes: routes, Latency: p.LongestLatency(), Held: heldBack(p), ReadyWithin: s.Rules.ReadyWithin.Of(),
 	}
 	for _, c := range s.Classes {
 		facts.Unsafe = append(facts.Unsafe, c.Effect == "unsafe")
@@ -598,6 +598,7 @@
 	manages int
 
 	closed  atomic.Bool            // clients open no new connections
+	stalls  atomic.Int64           // a planted defect of its start: it does nothing for so long (ns)
 	endsBad atomic.Pointer[string] // a planted defect of its end; empty or nil: none
 }
 
@@ -728,6 +729,7 @@
 	if at != nil {
 		r.members.has(at, c)
 	}
+	s.spoilStart(ctx, c)
 	ready, err := c.Await(ctx, readyText)
 	if err != nil {
 		if c.Kill(); at != nil {
--- a/internal/lab/scenario/parse.go
+++ b/internal/lab/scenario/parse.go
@@ -16,7 +16,7 @@
 
 // RuleNames lists the rules that every run is held to.
 func RuleNames() []string {
-	return slices.Concat([]string{"one-answer", "unsafe-once", "one-at-a-time", "most-attempts", "no-stray", "drain", "cold", "body", "limits", "client-gone", "time-told",
+	return slices.Concat([]string{"one-answer", "unsafe-once", "one-at-a-time", "most-attempts", "no-stray", "drain", "cold", "body", "limits", "client-gone", "time-told", "ready-in-time",
 		"linearizable", "watchers-agree", "disk-honest", "age-told"}, RouteRules(), MemberRules())
 }
 
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -168,6 +168,7 @@
 	AnswerSlack  Duration `toml:"answer_slack"`
 	CrossPrice   float64  `toml:"cross_price"`
 	Probes       bool     `toml:"probes"`
+	ReadyWithin  Duration `toml:"ready_within"` // of a copy that is started again
 }
 
 // Class is one class of requests.
@@ -333,6 +334,7 @@
 
 		"defect-end-early":   {sidecars: true, lasts: true},
 		"defect-ignore-term": {sidecars: true, lasts: true},
+		"defect-ready-late":  {sidecars: true, lasts: true, sized: true, size: [2]float64{0, 600}},
 	}
 }
 
@@ -386,6 +388,7 @@
 	or(&s.Rules.MaxAttempts, 3)
 	or(&s.Rules.AnswerSlack, Duration(20*time.Millisecond))
 	or(&s.Rules.CrossPrice, 0.1)
+	or(&s.Rules.ReadyWithin, Duration(10*time.Second))
 	if len(s.Servers.Kinds) == 0 {
 		cold := Duration(18 * time.Second)
 		s.Servers.Kinds = []Kind{
@@ -505,6 +508,7 @@
 		{"rules.cold", float64(s.Rules.Cold), 0, inf}, {"rules.fall_multiple", s.Rules.FallMultiple, 0, inf},
 		{"rules.fall_time", float64(s.Rules.FallTime), 0, inf}, {"rules.max_attempts", float64(s.Rules.MaxAttempts), 1, 10},
 		{"rules.answer_slack", float64(s.Rules.AnswerSlack), 0, inf}, {"rules.cross_price", s.Rules.CrossPrice, 0, inf},
+		{"rules.ready_within", float64(s.Rules.ReadyWithin), 0, inf},
 	} {
 		if !(v.v >= v.lo && v.v <= v.hi) {
 			return bad(v.key, "is out of range")
--- a/internal/lab/tamper.go
+++ b/internal/lab/tamper.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"marblelane/internal/lab/agent"
@@ -68,6 +70,12 @@
 		for _, i := range p.Sidecars {
 			r.sidecars[i].endsBad.Store(&set)
 		}
+	case "ready-late":
+		for _, i := range p.Sidecars {
+			if r.sidecars[i].stalls.Store(0); on {
+				r.sidecars[i].stalls.Store(int64(p.Fault.Size * float64(time.Second)))
+			}
+		}
 	case "lose-answer", "answer-twice":
 		for _, i := range p.Sidecars {
 			r.tampers[i].active.Store(&set)
@@ -92,6 +100,17 @@
 	return true
 }
 
+// spoilStart plays a defect of a process at its start: it does nothing for a while. The records say nothing of it.
+func (s *sidecar) spoilStart(ctx context.Context, c *copies.Copy) {
+	stalls := time.Duration(s.stalls.Load())
+	if stalls == 0 {
+		return
+	}
+	_ = c.Signal(syscall.SIGSTOP) // one that has ended says so where its readiness is awaited
+	sleep(ctx, stalls)
+	_ = c.Signal(syscall.SIGCONT) // as above
+}
+
 // repeater says which sidecars' requests are sent again, and how.
 type repeater struct {
 	defect   string
