lab: count what cold servers are sent against the stricter term

The rule cold only saw a stand-in fall over, which weighs the work that came. The acceptance counts calls: N + 2*sqrt(N) + 2 in the time that the settings name, N + 3*sqrt(N) + 3 under 30, from all processes together, N being what the settings let the server bear then in requests of mean work.

The rule now counts each call that a server hears while it is cold, in a sliding window, and breaks where over two thirds came from sidecars that had been told of the start; a fall still breaks it on its own.

--- /dev/null
+++ b/internal/lab/cold.go
@@ -0,0 +1,19 @@
+package lab
+
+import (
+	"marblelane/internal/lab/invariant"
+	"marblelane/internal/lab/scenario"
+	"marblelane/internal/lab/stock"
+)
+
+// coldStart is what the plan's servers may be sent while they are cold, by the figures that the sidecars are told.
+func coldStart(p *scenario.Plan) invariant.ColdStart {
+	rules := &p.Scenario.Rules
+	f := invariant.ColdStart{From: rules.ColdFrom, Time: rules.Cold.Of(), Window: rules.FallTime.Of(), Multiple: rules.FallMultiple}
+	mean := p.Scenario.MeanWork()
+	for i := range p.Servers {
+		spec := stock.SpecOf(p, i)
+		f.PerS = append(f.PerS, float64(spec.Cores)*spec.Speed*1000/mean)
+	}
+	return f
+}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -440,7 +440,7 @@
 }
 
 func (r *run) bootServer(i int) error {
-	r.note(record.ServerState, record.Nobody, i, "boots")
+	r.note(record.ServerState, record.Nobody, i, invariant.Booted)
 	if err := r.servers[i].Boot(); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/lab/invariant/cold_test.go
@@ -0,0 +1,47 @@
+package invariant
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"marblelane/internal/lab/record"
+)
+
+// A cold server gets N + 2 x root of N + 2 calls at most, under 30 N + 3 x root of N + 3, of sidecars that know of its start.
+func TestColdServerGetsNoMoreThanIsAllowed(t *testing.T) {
+	// At the end of the window of 3 s a server that can do 10 a second when warm has 0.25 + 0.75 x 3/15 of it: 0.4.
+	facts := func(multiple float64) Facts {
+		return Facts{Unsafe: []bool{false}, MaxAttempts: 3, Cold: ColdStart{
+			From: 0.25, Time: 15 * time.Second, Window: 3 * time.Second, Multiple: multiple, PerS: []float64{0, 0, 0, 10}}}
+	}
+	for name, c := range map[string]struct {
+		multiple float64
+		calls    int
+		unknown  int // of them from a sidecar that does not know
+		broken   bool
+	}{
+		"few":                {2, 41, 0, false}, // N = 24: 24 + 14.7 + 3
+		"a few too many":     {2, 42, 0, true},
+		"many":               {4, 63, 0, false}, // N = 48: 48 + 13.9 + 2
+		"many too many":      {4, 64, 0, true},
+		"mostly known":       {4, 64, 21, true},
+		"a third is unknown": {4, 66, 22, false},
+	} {
+		events := []record.Event{process(0, Started), process(1, Serving), told(2, "Ready"),
+			{T: millis(10), Kind: record.ServerState, Server: 3, Note: Booted},
+			{T: millis(20), Kind: record.Told, Server: 3, N: 5, Note: "Ready"},
+		}
+		for i := range c.calls {
+			e := record.Event{T: millis(3010) - time.Duration(c.calls-1-i)*time.Microsecond, Kind: record.LastByte, Server: 3, Request: uint64(i + 1)}
+			if i < c.unknown {
+				e.Sidecar = 1
+			}
+			events = append(events, e)
+		}
+		got := Check(events, facts(c.multiple)).Broken()
+		if slices.Contains(got, Cold) != c.broken {
+			t.Errorf("%s: broken are %v", name, got)
+		}
+	}
+}
--- a/internal/lab/invariant/invariant.go
+++ b/internal/lab/invariant/invariant.go
@@ -21,7 +21,7 @@
 	MostTries   = "most-attempts" // at most so many attempts of a request
 	NoStray     = "no-stray"      // nothing reaches a server that no client sent in this form
 	Drain       = "drain"         // nothing new to a server that was told to drain, or gone, after the grace
-	Cold        = "cold"          // no cold server is pushed over
+	Cold        = "cold"          // no cold server is pushed over, or gets more calls than it is allowed
 	Body        = "body"          // a served body is the one a server made for this request
 	LimitsKept  = "limits"        // no copy goes over its memory or descriptors, or ends unasked
 	ClientGone  = "client-gone"   // no attempt begins for a client that has left
@@ -49,6 +49,7 @@
 	// Latency is the longest time one way between a sidecar and a server.
 	Latency time.Duration
 	Held    []Held // what links hold back
+	Cold    ColdStart
 	// ReadyWithin is how long a copy that is started again may take to be ready; 0: any time.
 	ReadyWithin time.Duration
 }
@@ -133,6 +134,7 @@
 	c.drains()
 	c.rest()
 	c.ready()
+	c.cold()
 	c.routes()
 	return c.out
 }
@@ -402,7 +404,7 @@
 		case record.FellOver:
 			c.breach(Cold, e.T, e.Request, c.byID[e.Request], "server %d was pushed over: %s", e.Server, e.Note)
 		case record.ServerState:
-			if e.Note == "boots" {
+			if e.Note == Booted {
 				c.out.Checked[Cold]++
 			}
 		case record.Stray:
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -385,6 +385,7 @@
 		MaxAttempts: s.Rules.MaxAttempts, DrainGrace: s.Rules.DrainGrace.Of(),
 		MemoryMB: s.Sidecars.MemoryMB, Sockets: s.Sidecars.Sockets, SparedTerm: scenario.SparedTerm,
 		Routes: routes, Latency: p.LongestLatency(), Held: heldBack(p), ReadyWithin: s.Rules.ReadyWithin.Of(),
+		Cold: coldStart(p),
 	}
 	for _, c := range s.Classes {
 		facts.Unsafe = append(facts.Unsafe, c.Effect == "unsafe")
--- a/internal/lab/scenario/plan.go
+++ b/internal/lab/scenario/plan.go
@@ -390,15 +390,26 @@
 	return out
 }
 
-func (p *Plan) drawArrivals(r *rand.Rand) {
-	s := p.Scenario
-	classes, meanWork := 0.0, 0.0
+func (s *Scenario) classShares() float64 {
+	sum := 0.0
 	for _, c := range s.Classes {
-		classes += c.Share
+		sum += c.Share
 	}
+	return sum
+}
+
+// MeanWork is that of a request, in milliseconds of a core of speed 1.
+func (s *Scenario) MeanWork() float64 {
+	shares, mean := s.classShares(), 0.0
 	for _, c := range s.Classes {
-		meanWork += c.Share / classes * c.Work.MS() / s.Traffic.Pace
+		mean += c.Share / shares * c.Work.MS() / s.Traffic.Pace
 	}
+	return mean
+}
+
+func (p *Plan) drawArrivals(r *rand.Rand) {
+	s := p.Scenario
+	classes, meanWork := s.classShares(), s.MeanWork()
 	p.Rate = s.Traffic.Rate
 	if p.Rate == 0 {
 		p.Rate = s.Traffic.Load * p.Capacity / meanWork * 1000
--- a/internal/lab/simulate/simulate.go
+++ b/internal/lab/simulate/simulate.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"marblelane/balance"
+	"marblelane/internal/lab/invariant"
 	"marblelane/internal/lab/record"
 	"marblelane/internal/lab/scenario"
 	"marblelane/internal/lab/simclock"
@@ -405,7 +406,7 @@
 }
 
 func (w *world) boot(s *server) {
-	w.state(s, "boots")
+	w.state(s, invariant.Booted)
 	s.down, s.drain = false, false
 	s.pod.farm.Boot(w.clock(), s.inPod)
 	s.bootMS = int64(w.Now())
