lab: leave the lab's own stalls out of the client rules

The heartbeat that measures the lab's lateness now also says when a timer of the lab was late, and client-gone and time-told leave just these times out.

--- a/internal/lab/invariant/clients_test.go
+++ b/internal/lab/invariant/clients_test.go
@@ -43,6 +43,28 @@
 	}
 }
 
+// The time in which the machine gave the lab nothing is not held against the copies; what lies outside is.
+func TestStallsOfTheLabAreNotCounted(t *testing.T) {
+	for name, c := range map[string]struct {
+		stalls []Span
+		broken bool
+	}{
+		"none":           {nil, true},
+		"long enough":    {[]Span{{millis(520), millis(560)}, {millis(600), millis(625)}}, false},
+		"too short":      {[]Span{{millis(520), millis(560)}}, true},
+		"partly outside": {[]Span{{millis(440), millis(540)}}, true},
+		"after it":       {[]Span{{millis(710), millis(900)}}, true},
+	} {
+		events := []record.Event{process(0, Started), process(1, Serving),
+			{T: millis(100), Kind: record.Sent, Request: 7, Server: record.Nobody},
+			{T: millis(500), Kind: record.GaveUp, Request: 7, Server: record.Nobody}, send(710)}
+		got := Check(events, Facts{Unsafe: []bool{false}, MaxAttempts: 3, Stalls: c.stalls}).Broken()
+		if slices.Contains(got, ClientGone) != c.broken {
+			t.Errorf("%s: broken are %v", name, got)
+		}
+	}
+}
+
 // An attempt may tell no longer time than its client still waits, counted from when the copy could read the request.
 func TestAttemptsTellWhatIsLeft(t *testing.T) {
 	sent := record.Event{T: millis(100), Kind: record.Sent, Request: 7, Server: record.Nobody, Work: 1000}
--- a/internal/lab/invariant/invariant.go
+++ b/internal/lab/invariant/invariant.go
@@ -49,6 +49,7 @@
 	// Latency is the longest time one way between a sidecar and a server.
 	Latency time.Duration
 	Held    []Held // what links hold back
+	Stalls  []Span // times in which the machine gave the lab no processor time, and so the copies none either
 	Cold    ColdStart
 	// ReadyWithin is how long a copy that is started again may take to be ready; 0: any time.
 	ReadyWithin time.Duration
--- a/internal/lab/memberscale.go
+++ b/internal/lab/memberscale.go
@@ -557,7 +557,7 @@
 	beating, still := context.WithCancel(limited)
 	var lag []time.Duration
 	var beat, split, lost sync.WaitGroup
-	beat.Go(func() { lag = heartbeat(beating) })
+	beat.Go(func() { lag, _ = heartbeat(beating) })
 	for i, size := range side {
 		split.Go(func() {
 			r.fleet(size, func(f *scaleFleet) { r.split(size, f) })
--- a/internal/lab/registry.go
+++ b/internal/lab/registry.go
@@ -284,7 +284,7 @@
 		watch.Go(func() { watchers[i].follow(watching) })
 	}
 	var lag []time.Duration
-	rr.wg.Go(func() { lag = heartbeat(playing) })
+	rr.wg.Go(func() { lag, _ = heartbeat(playing) })
 	for i := range rr.reg.Writers {
 		write.Go(func() { rr.writer(playing, i) })
 	}
