lab: watches that are reset, end, tell whole lists or come in pieces around drains

Faults list-end, list-whole and list-pieces, and after a reset of the links to discovery what comes later counts as told 6 s later at the latest, also if no new watch is opened. What a whole list leaves out counts as gone.

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -242,6 +242,9 @@
 		return once(func(context.Context) error {
 			r.eachLink(p, func(port *relay.Port, sidecar int, _ *relay.Link) {
 				port.Each(sidecar, (*relay.Conn).Reset)
+				if f.Link == "discovery" {
+					r.loseWatches(f, sidecar)
+				}
 			})
 			return nil
 		})
@@ -313,6 +316,16 @@
 			}
 			return nil
 		})
+	case "list-end":
+		return list(func(b *agent.Behaviour, on bool) { b.Form.Ends = on })
+	case "list-whole":
+		return list(func(b *agent.Behaviour, on bool) { b.Form.Whole = on })
+	case "list-pieces":
+		return list(func(b *agent.Behaviour, on bool) {
+			if b.Form.Pieces = 0; on {
+				b.Form.Pieces = int(f.Size)
+			}
+		})
 	case "list-refuse":
 		return list(func(b *agent.Behaviour, on bool) { b.Refuse = on })
 	case "list-move":
@@ -344,6 +357,16 @@
 	panic("lab: no steps for a fault of the kind " + f.Kind)
 }
 
+// loseWatches tells the stand-ins that a sidecar's watches were broken off.
+func (r *run) loseWatches(f scenario.Fault, sidecar int) {
+	if r.service != nil {
+		return
+	}
+	for _, a := range r.listsOf(f) {
+		a.Lose(sidecar)
+	}
+}
+
 // listsOf are the list services that a fault concerns.
 func (r *run) listsOf(f scenario.Fault) []*agent.Agents {
 	if number, one := strings.CutPrefix(f.List, "#"); one {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -297,6 +297,9 @@
 		"list-stuck":      {sidecars: true, lasts: true},
 		"list-freeze":     {sidecars: true, lasts: true},
 		"list-big":        {sidecars: true, lasts: true},
+		"list-end":        {sidecars: true, lasts: true},
+		"list-whole":      {sidecars: true, lasts: true},
+		"list-pieces":     {sidecars: true, lasts: true, sized: true, size: [2]float64{1, 1e6}},
 		"burst":           {lasts: true, sized: true, size: [2]float64{0, 100}},
 		"leave":           {sidecars: true, sized: true, size: [2]float64{0, 1}},
 
