--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -160,6 +160,8 @@
 		return pair(func(on bool) error { return r.vanish(p.Servers, on) })
 	case "burst":
 		return pair(func(bool) error { return nil }) // it is in the arrivals already
+	case "rush":
+		return once(func(context.Context) error { return nil }) // as above
 	}
 	return r.linkSteps(p, once, pair)
 }
--- a/internal/lab/scenario/plan.go
+++ b/internal/lab/scenario/plan.go
@@ -430,25 +430,49 @@
 		at += r.ExpFloat64() / highest
 		t := time.Duration(at*1e6) * time.Microsecond
 		if t >= length {
-			return
+			break
 		}
 		if r.Float64()*highest > p.rateAt(t) {
 			continue
 		}
-		a := Arrival{At: t, Sidecar: p.hasStarted(p.weighted(r), t), Seed: r.Uint64()}
-		a.Class = drawShare(r, len(s.Classes), classes, func(i int) float64 { return s.Classes[i].Share })
-		a.Tenant = drawShare(r, len(s.Tenants), tenants, func(i int) float64 { return s.Tenants[i].Share * s.Tenants[i].Usage })
-		c := &s.Classes[a.Class]
-		w := 1.0
-		switch {
-		case c.Dist == "exp":
-			w = r.ExpFloat64()
-		case c.CV > 0:
-			w = lognormal(r, c.CV)
+		p.Arrivals = append(p.Arrivals, p.drawArrival(r, t, p.hasStarted(p.weighted(r), t), classes, tenants))
+	}
+	p.drawRushes(stream(p.Seed, "rushes"), classes, tenants)
+}
+
+// rushLasts is the time within which the requests of a rush come.
+const rushLasts = 40 * time.Millisecond
+
+// drawRushes adds the requests that come to one sidecar at once.
+func (p *Plan) drawRushes(r *rand.Rand, classes, tenants float64) {
+	for _, f := range p.Faults {
+		if f.Fault.Kind != "rush" {
+			continue
 		}
-		a.Work = math.Round(c.Work.MS()/s.Traffic.Pace*w*1000) / 1000
-		p.Arrivals = append(p.Arrivals, a)
+		for range int(f.Fault.Size) {
+			at := f.At + time.Duration(r.Float64()*float64(rushLasts))
+			p.Arrivals = append(p.Arrivals, p.drawArrival(r, at, f.Sidecars[0], classes, tenants))
+		}
+	}
+	slices.SortStableFunc(p.Arrivals, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+}
+
+// drawArrival draws a request that a sidecar is asked for at a time; classes and tenants are the sums of their shares.
+func (p *Plan) drawArrival(r *rand.Rand, at time.Duration, sidecar int, classes, tenants float64) Arrival {
+	s := p.Scenario
+	a := Arrival{At: at, Sidecar: sidecar, Seed: r.Uint64()}
+	a.Class = drawShare(r, len(s.Classes), classes, func(i int) float64 { return s.Classes[i].Share })
+	a.Tenant = drawShare(r, len(s.Tenants), tenants, func(i int) float64 { return s.Tenants[i].Share * s.Tenants[i].Usage })
+	c := &s.Classes[a.Class]
+	w := 1.0
+	switch {
+	case c.Dist == "exp":
+		w = r.ExpFloat64()
+	case c.CV > 0:
+		w = lognormal(r, c.CV)
 	}
+	a.Work = math.Round(c.Work.MS()/s.Traffic.Pace*w*1000) / 1000
+	return a
 }
 
 func (p *Plan) rateAt(t time.Duration) float64 {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -301,6 +301,7 @@
 		"list-whole":      {sidecars: true, lasts: true},
 		"list-pieces":     {sidecars: true, lasts: true, sized: true, size: [2]float64{1, 1e6}},
 		"burst":           {lasts: true, sized: true, size: [2]float64{0, 100}},
+		"rush":            {sidecars: true, turns: true, sized: true, size: [2]float64{1, 1000}},
 		"leave":           {sidecars: true, sized: true, size: [2]float64{0, 1}},
 
 		"copy-kill":           {copies: true, lasts: true},
