--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -162,6 +162,15 @@
 		return pair(func(bool) error { return nil }) // it is in the arrivals already
 	case "rush":
 		return once(func(context.Context) error { return nil }) // as above
+	case "idle-fill":
+		steps := pair(func(bool) error { return nil })
+		steps[0].do = func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, p.Until-p.At)
+			defer cancel()
+			r.load.Fill(ctx, p.Sidecars, int(f.Size))
+			return nil
+		}
+		return steps
 	}
 	return r.linkSteps(p, once, pair)
 }
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -302,6 +302,7 @@
 		"list-pieces":     {sidecars: true, lasts: true, sized: true, size: [2]float64{1, 1e6}},
 		"burst":           {lasts: true, sized: true, size: [2]float64{0, 100}},
 		"rush":            {sidecars: true, turns: true, sized: true, size: [2]float64{1, 1000}},
+		"idle-fill":       {sidecars: true, lasts: true, sized: true, size: [2]float64{1, 2000}},
 		"leave":           {sidecars: true, sized: true, size: [2]float64{0, 1}},
 
 		"copy-kill":           {copies: true, lasts: true},
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -61,6 +61,7 @@
 		{"size of a leave", "for = \"2s\"\nkind = \"slow\"\nservers = \"25%\"\nsize = 3", "kind = \"leave\"\nsize = 2", 14, "fault[0].size", "not between"},
 		{"silent", `size = 3`, "size = 3\nsilent = true", 17, "fault[0].silent", "only an idle-close"},
 		{"no turns of a rush", "for = \"2s\"\nkind = \"slow\"\nservers = \"25%\"", `kind = "rush"`, 0, "fault[0].every", "from one sidecar to the next"},
+		{"idle clients", "kind = \"slow\"\nservers = \"25%\"\nsize = 3", "kind = \"idle-fill\"\nsize = 0", 15, "fault[0].size", "not between"},
 		{"servers of a whole list", `kind = "slow"`, `kind = "list-whole"`, 15, "fault[0].servers", "concerns none"},
 		{"no turns", "for = \"2s\"\nkind = \"slow\"\nservers = \"25%\"\nsize = 3", `kind = "sidecar-term"`, 0, "fault[0].every", "from one sidecar to the next"},
 		{"class dist", `[traffic]`, "[[class]]\nname = \"a\"\nshare = 1\nwork = \"1ms\"\naim = \"1s\"\ndeadline = \"4s\"\ndist = \"flat\"\n[traffic]", 14, "class[0].dist", "neither lognormal nor exp"},
