lab: servers that say more a little after an answer

Fault second-answer writes the answer again, or half of a line, up to 8 ms after an answer if its connection still rests then.

The sidecar sends a next request on the connection while the second answer is on its way and takes it for this one's (answered 0.7 ms after it was sent, 1.1 ms before the server had read it); from then on each answer on that connection goes to the request after its own, three more here. The scenario is not among the tests until the sidecar holds this.

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -171,6 +171,8 @@
 			return nil
 		}
 		return steps
+	case "second-answer":
+		return behave(func(b *stock.Behaviour, on bool) { b.Second = size(on) })
 	}
 	return r.linkSteps(p, once, pair)
 }
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -277,10 +277,11 @@
 		"half-close": {servers: true, sidecars: true, lasts: true},
 		"break":      {servers: true, sidecars: true, lasts: true, sized: true, size: [2]float64{1, 1e12}},
 
-		"accept-late": {servers: true, sidecars: true, lasts: true, sized: true, size: [2]float64{0.001, 60}},
-		"idle-close":  {servers: true, lasts: true, sized: true, size: [2]float64{0.01, 600}},
-		"reset-begun": {servers: true, lasts: true, sized: true, size: [2]float64{0, 1}},
-		"turn-away":   {servers: true, lasts: true, sized: true, size: [2]float64{0, 1}},
+		"accept-late":   {servers: true, sidecars: true, lasts: true, sized: true, size: [2]float64{0.001, 60}},
+		"idle-close":    {servers: true, lasts: true, sized: true, size: [2]float64{0.01, 600}},
+		"reset-begun":   {servers: true, lasts: true, sized: true, size: [2]float64{0, 1}},
+		"second-answer": {servers: true, lasts: true, sized: true, size: [2]float64{0, 1}},
+		"turn-away":     {servers: true, lasts: true, sized: true, size: [2]float64{0, 1}},
 
 		"sidecar-kill":    {sidecars: true, lasts: true},
 		"sidecar-restart": {sidecars: true},
--- a/internal/lab/stock/server.go
+++ b/internal/lab/stock/server.go
@@ -102,6 +102,8 @@
 	Drain bool    // turns all new requests away
 	Reset float64 // share of requests whose connection is reset while they are worked on
 	Turn  float64 // share of requests that are turned away, after a part of the time of their work
+	// Second is the share of answers after which something more comes, some milliseconds late: a second answer or half a line.
+	Second float64
 	// FailOf and HeavyOf are the classes of requests that Fail and Heavy concern; empty: all.
 	FailOf, HeavyOf []int
 	Heavy           float64 // times the work of these requests; 0: as it is
@@ -572,6 +574,37 @@
 	v.replied.Store(true)
 	s.rests(v.conn)
 	v.note(record.Replied, status, 0)
+	if s.chance(s.behave.Load().Second) {
+		s.sayMore(v.conn, status, body)
+	}
+}
+
+// moreWithin is the time after an answer within which what nobody asked for comes.
+const moreWithin = 8 * time.Millisecond
+
+// sayMore writes what nobody asked for a little after an answer, if its connection still rests then: the answer again, or the
+// first half of its first line.
+func (s *Server) sayMore(c *relay.Conn, status int, body []byte) {
+	late := time.Duration(s.draw() * float64(moreWithin))
+	half := s.draw() < 0.5
+	time.AfterFunc(late, func() {
+		if !s.resting(c) {
+			return
+		}
+		if half {
+			_, _ = c.Write([]byte("HTTP/1.1 2")) // a connection that has ended takes nothing more
+			return
+		}
+		_ = answer(c, status, body, "") // as above
+	})
+}
+
+// resting tells whether a connection is without a request.
+func (s *Server) resting(c *relay.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, rests := s.idle[c]
+	return rests
 }
 
 func answer(c *relay.Conn, status int, body []byte, header string) error {
--- a/internal/lab/stock/server_test.go
+++ b/internal/lab/stock/server_test.go
@@ -68,6 +68,10 @@
 	return err
 }
 
+func has(log *record.Log, k record.Kind) bool {
+	return slices.ContainsFunc(log.Events(), func(e record.Event) bool { return e.Kind == k })
+}
+
 func reset(err error) bool {
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.ErrUnexpectedEOF)
 }
@@ -114,10 +118,7 @@
 	if err := call(t, s).ask(); !reset(err) {
 		t.Errorf("got %v", err)
 	}
-	has := func(k record.Kind) bool {
-		return slices.ContainsFunc(log.Events(), func(e record.Event) bool { return e.Kind == k })
-	}
-	if !has(record.Ran) || has(record.Replied) {
+	if !has(log, record.Ran) || has(log, record.Replied) {
 		t.Errorf("it had not begun, or has ended: %v", log.Events())
 	}
 	s.Behave(func(b *Behaviour) { b.Reset = 0 })
@@ -125,3 +126,39 @@
 		t.Error(err)
 	}
 }
+
+// What comes some milliseconds after an answer is the answer again, or half of a line.
+func TestSecondAnswer(t *testing.T) {
+	s, _ := alone(t, Spec{Cores: 1, Speed: 1, Queue: 10, Idle: time.Hour}, 1)
+	s.Behave(func(b *Behaviour) { b.Second = 1 })
+	again, half := false, false
+	for !again || !half {
+		c := call(t, s)
+		if err := c.ask(); err != nil {
+			t.Fatal(err)
+		}
+		more, err := c.in.Peek(len("HTTP/1.1 2"))
+		if err != nil || string(more) != "HTTP/1.1 2" {
+			t.Fatalf("after an answer came %q, %v", more, err)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond)) // a second answer is written whole
+		if resp, err := http.ReadResponse(c.in, nil); err == nil {
+			again = true
+			resp.Body.Close()
+		} else {
+			half = true
+		}
+	}
+}
+
+// A request that is turned away after a part of its work has not run.
+func TestTurnedAwayLate(t *testing.T) {
+	s, log := alone(t, Spec{Cores: 1, Speed: 1, Queue: 10, Idle: time.Hour}, 20)
+	s.Behave(func(b *Behaviour) { b.Turn = 1 })
+	if err := call(t, s).ask(); err != nil {
+		t.Fatal(err)
+	}
+	if has(log, record.Ran) || !has(log, record.Turned) {
+		t.Errorf("it ran, or was not turned away: %v", log.Events())
+	}
+}
