lab: end a fault of the list service's copies only once it has begun

On a machine with a load of 47 a copy's fault took longer to begin than it lasts, and its end called an undo that was not there yet (nil pointer in the lab's tests, faults.go, step of copy-*). The end now waits for the beginning, or for the end of the run. There is no test that makes this order happen each time.

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -99,11 +99,23 @@
 		var undo func() error
 		steps := pair(func(bool) error { return nil })
 		steps[0].text, steps[1].text = name, name+" ends"
+		begun := make(chan struct{}) // its beginning may take longer than it lasts
 		steps[0].do = func(ctx context.Context) (err error) {
+			defer close(begun)
 			undo, err = r.service.copyFault(ctx, p)
 			return err
 		}
-		steps[1].do = func(context.Context) error { return undo() }
+		steps[1].do = func(ctx context.Context) error {
+			select {
+			case <-begun:
+			case <-ctx.Done():
+				return nil
+			}
+			if undo == nil { // it never began
+				return nil
+			}
+			return undo()
+		}
 		return steps
 	}
 	if strings.HasPrefix(f.Kind, "list-") || strings.HasPrefix(f.Kind, "sidecar-") {
