Mend the lab's findings of staticcheck

Two fields and a figure that nothing used, a loop that always ended in its first pass, and a comment that did not begin with its name. Behaviour is unchanged; staticcheck with all its checks is clean on all packages now.

--- a/internal/lab/explore/explore.go
+++ b/internal/lab/explore/explore.go
@@ -34,7 +34,7 @@
 	Most     int // states, beyond which the exploration ends with ErrMost; 0: no bound
 }
 
-// ErrMost: there are more states than an exploration may visit. What it has visited breaks no promise.
+// ErrMost is that there are more states than an exploration may visit. What it has visited breaks no promise.
 var ErrMost = errors.New("explore: there are more states")
 
 // Breach is a state that breaks a promise.
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -139,7 +139,6 @@
 type Log struct {
 	began time.Time
 	parts [shards]part
-	mu    sync.Mutex
 }
 
 type part struct {
--- a/internal/lab/registry.go
+++ b/internal/lab/registry.go
@@ -64,7 +64,6 @@
 	copies []*registryCopy
 	links  [][]*relay.Link // by caller and called copy
 
-	ending   atomic.Bool
 	skipping atomic.Bool // planted: watchers lose lines
 	boasting atomic.Bool // planted: lists are said to be new
 	lying    atomic.Bool // planted: reads are answered with what was once true
--- a/internal/lab/relay/link.go
+++ b/internal/lab/relay/link.go
@@ -123,26 +123,24 @@
 
 // Read takes what the caller sent, late or not at all as the link has it.
 func (c *Conn) Read(p []byte) (int, error) {
-	for {
-		if err := c.pass(To); err != nil {
-			return 0, err
-		}
-		n, err := c.TCPConn.Read(p)
-		r := c.link.rules.Load()
-		if r.Cut&To != 0 {
-			// What came was on its way when the cut began, and is lost to the party until it is over. An end that
-			// came is seen then as well.
-			if held := c.pass(To); held != nil {
-				return 0, held
-			}
+	if err := c.pass(To); err != nil {
+		return 0, err
+	}
+	n, err := c.TCPConn.Read(p)
+	r := c.link.rules.Load()
+	if r.Cut&To != 0 {
+		// What came was on its way when the cut began, and is lost to the party until it is over. An end that
+		// came is seen then as well.
+		if held := c.pass(To); held != nil {
+			return 0, held
 		}
-		if n > 0 {
-			if werr := c.carry(r, n); werr != nil {
-				return 0, werr
-			}
+	}
+	if n > 0 {
+		if werr := c.carry(r, n); werr != nil {
+			return 0, werr
 		}
-		return n, err
 	}
+	return n, err
 }
 
 // Write sends to the caller, late or not at all as the link has it. While answers are cut, it blocks.
--- a/internal/lab/routescale.go
+++ b/internal/lab/routescale.go
@@ -379,10 +379,10 @@
 
 // use is what the copies and this process have used so far.
 type use struct {
-	at             time.Duration
-	own, leader    float64 // CPU seconds
-	bytes          float64 // that all copies read and wrote, raft's and disks' included
-	writes, synced float64
+	at          time.Duration
+	own, leader float64 // CPU seconds
+	bytes       float64 // that all copies read and wrote, raft's and disks' included
+	writes      float64
 }
 
 func (f *fleet) use(ctx context.Context) (use, error) {
