--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -143,7 +143,7 @@
 		"zone-answers-lost": true,
 		"canary-good":       false, "canary-leader-killed": false, "canary-cut-off": false,
 		"audit-sidecars-killed": false, "compat-rolling-upgrade": false, "compat-shut-out": false,
-		"client-gone": true, "ready-silent": true, "watch-reset": false, "watch-whole": false, "watch-hangup": false,
+		"client-gone": true, "client-gone-pipelined": true, "ready-silent": true, "watch-reset": false, "watch-whole": false, "watch-hangup": false,
 		"term-idle-request": true,
 		"list-empty":        false, "list-half": false, "list-freeze": false, "list-start": true,
 	} {
