Split the upstream file by pool, dial, exchange and answer

Its declarations stand in four files now, each with a line on its job; constants stand beside their users. No declaration has changed: the package's text is the same but for order, imports and those lines.

--- /dev/null
+++ b/internal/sidecar/dial.go
@@ -0,0 +1,130 @@
+package sidecar
+
+// This file opens new connections to servers and hands each to the attempt that has waited longest.
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"os"
+	"slices"
+	"time"
+)
+
+// lateConnect is how long a new connection may take to come up (STANDING). Nobody waits that long for it: it is kept for
+// who comes next.
+const lateConnect = time.Second
+
+var errNoSocket = errors.New("no socket is free")
+
+// waiter is an attempt that waits for a new connection: its own, or one that was begun for another. One that has just
+// carried an answer it does not get: servers close some of those right then, and what is written to them is lost.
+type waiter struct{ done chan dialed }
+
+// dialed is what a waiter gets.
+type dialed struct {
+	conn *upConn
+	err  error
+}
+
+// get takes a kept connection, or dials. Whether a kept one is still good the sender asks right before it
+// writes. Dialing is bounded by the settings and by the time that the request has left; the loop is told of it, unless
+// it is for a probe.
+func (p *upstreams) get(ctx context.Context, up *upstream, cut time.Time, a *attempt) (*upConn, bool, error) {
+	if up.retired.Load() || !time.Now().Before(cut) {
+		return nil, false, errMoot
+	}
+	for connIdle := p.ages.within(p.connIdle); ; {
+		conn := p.takeIdle(up)
+		if conn == nil {
+			break
+		}
+		if time.Since(conn.since) < connIdle {
+			return conn, true, nil
+		}
+		p.discard(conn)
+	}
+	if !p.reserve() {
+		return nil, false, errNoSocket
+	}
+	if a != nil {
+		p.offer(connecting{a, false})
+	}
+	conn, err := p.await(ctx, up, cut)
+	if err != nil {
+		return nil, false, err
+	}
+	if a != nil {
+		p.offer(connecting{a, true})
+	}
+	return conn, false, nil
+}
+
+// await begins a new connection, for which room is reserved, and takes the first that comes up. One that comes up too
+// late for this attempt serves a later one.
+func (p *upstreams) await(ctx context.Context, up *upstream, cut time.Time) (*upConn, error) {
+	w := &waiter{done: make(chan dialed, 1)}
+	p.mu.Lock()
+	up.waiting = append(up.waiting, w)
+	up.dialing++
+	p.mu.Unlock()
+	p.dialers.Go(func() { p.dial(up) })
+	late := time.NewTimer(min(p.connectWait, time.Until(cut)))
+	defer late.Stop()
+	var err error
+	select {
+	case got := <-w.done:
+		return got.conn, got.err
+	case <-late.C:
+		err = os.ErrDeadlineExceeded
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	p.mu.Lock()
+	if i := slices.Index(up.waiting, w); i >= 0 {
+		up.waiting = slices.Delete(up.waiting, i, i+1)
+	}
+	p.mu.Unlock()
+	select { // it was served at the same moment
+	case got := <-w.done:
+		return got.conn, got.err
+	default:
+		return nil, err
+	}
+}
+
+// dial brings one connection up, for whoever waits first.
+func (p *upstreams) dial(up *upstream) {
+	c, err := p.dialer.DialContext(p.dials, "tcp", up.endpoint)
+	p.mu.Lock()
+	up.dialing--
+	if err != nil {
+		p.open--
+		if len(up.waiting) > up.dialing { // nothing is on its way for the first
+			up.next() <- dialed{err: err}
+		}
+		p.mu.Unlock()
+		return
+	}
+	head := &headConn{Conn: c}
+	left := &io.LimitedReader{R: head}
+	conn := &upConn{Conn: c, in: bufio.NewReader(left), left: left, head: head, up: up, since: time.Now()}
+	wanted := len(up.waiting) > 0
+	if wanted {
+		up.next() <- dialed{conn: conn}
+	} else {
+		p.keep(conn)
+	}
+	p.mu.Unlock()
+	if !wanted { // not under the lock: the loop may be waiting for it
+		p.offer(reached{up})
+	}
+}
+
+// next takes the first waiter out of the line; the caller holds the lock.
+func (up *upstream) next() chan<- dialed {
+	w := up.waiting[0]
+	up.waiting = slices.Delete(up.waiting, 0, 1)
+	return w.done
+}
