Drain and remove a server that ends while its registration is in progress

Callers saw refused connections: a server that got SIGTERM while its first registration was in progress stayed on the list as Ready until its lease ended, as TestRegister_clockStepBack showed at a load of 36 (no Terminating entry in 20 s).

Suspected, and confirmed by a proxy that holds the response back: the agent cancels the call with its own end, and then drains only what was acknowledged, while the write is applied all the same. TestAgent_endsWhileRegistering failed before in both forms (the watch received no line in 20 s after the end): with a late and with a lost response.

Now a registration is not cancelled with the agent (it has its own limit of 2 s), and what may be on the list is drained and removed. What cannot be there, as no connection came up or the replica rejected it, still ends at once.

--- a/internal/registry/agent/agent.go
+++ b/internal/registry/agent/agent.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/url"
 	"sync/atomic"
@@ -23,7 +24,8 @@
 
 // Registrar registers one server and keeps it registered from its first passed health check until the context of Run
 // ends. Run then marks the server Terminating, waits for DrainTime so that all watches receive the new state, and
-// removes the server.
+// removes the server. A registration that is in progress when the context ends may be applied all the same, so Run waits
+// for its response and also drains and removes a server that may be on the list.
 //
 // The registrar calls the replicas in turn until one responds, and registers the server again after the lease has
 // expired. A server that an operator has drained meanwhile is registered as Terminating.
@@ -41,6 +43,7 @@
 
 	lastReplica  int // index of the replica that responded last
 	client       http.Client
+	mayBeListed  bool // a registration was applied, or its outcome is unknown
 	serverExited atomic.Bool
 }
 
@@ -54,8 +57,8 @@
 	renewalsPerLease = 3
 )
 
-// Run keeps the server registered until ctx ends, then drains and removes it. Draining and removing takes at most
-// DrainTime and two calls to each replica.
+// Run keeps the server registered until ctx ends, then drains and removes it. That takes at most the rest of a call in
+// progress, DrainTime and two calls to each replica.
 func (r *Registrar) Run(ctx context.Context) error {
 	r.Lease = cmp.Or(r.Lease, 15*time.Second)
 	r.DrainTime = cmp.Or(r.DrainTime, 5*time.Second)
@@ -112,7 +115,7 @@
 		case <-time.After(next):
 		}
 	}
-	if !acknowledged {
+	if !r.mayBeListed {
 		return nil
 	}
 	return r.deregister()
@@ -212,8 +215,23 @@
 	return nil, lastErr
 }
 
-// call sends a request for the server's entry to one replica and returns the body of the response.
+// mayHaveApplied reports whether a registration with this result may be on the list now or later. That is impossible
+// only if it was not sent or if the replica rejected it.
+func mayHaveApplied(resp *http.Response, err error) bool {
+	var failed *net.OpError
+	if errors.As(err, &failed) {
+		return failed.Op != "dial"
+	}
+	return err != nil || resp.StatusCode/100 != 4
+}
+
+// call sends a request for the server's entry to one replica and returns the body of the response. A registration is not
+// cancelled with ctx, as its outcome would then be unknown.
 func (r *Registrar) call(ctx context.Context, address, method, pathSuffix string, body []byte) ([]byte, error) {
+	isRegistration := method == http.MethodPost && pathSuffix == ""
+	if isRegistration {
+		ctx = context.WithoutCancel(ctx)
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method,
@@ -222,6 +240,9 @@
 		return nil, fmt.Errorf("register: %w", err)
 	}
 	resp, err := r.client.Do(req)
+	if isRegistration && mayHaveApplied(resp, err) {
+		r.mayBeListed = true
+	}
 	if err != nil {
 		return nil, fmt.Errorf("register: %w", err)
 	}
@@ -230,7 +251,7 @@
 	switch {
 	case resp.StatusCode == http.StatusNotFound:
 		return nil, state.ErrUnknown
-	case resp.StatusCode == http.StatusConflict && pathSuffix == "" && method == http.MethodPost:
+	case resp.StatusCode == http.StatusConflict && isRegistration:
 		return nil, fmt.Errorf("%w: %s", state.ErrDrained, bytes.TrimSpace(text))
 	case resp.StatusCode != http.StatusOK:
 		return nil, fmt.Errorf("register: %s responded with %s: %s", address, resp.Status, bytes.TrimSpace(text))
--- a/internal/registry/agent_test.go
+++ b/internal/registry/agent_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -72,6 +74,59 @@
 	}
 }
 
+// A server that is told to end while its registration is in progress is drained and removed, even if the response to the
+// registration is late or lost.
+func TestAgent_endsWhileRegistering(t *testing.T) {
+	for name, responds := range map[string]bool{"response late": true, "response lost": false} {
+		t.Run(name, func(t *testing.T) {
+			one := cluster(t, 1, func(c *Config) { c.Dir, c.Peers = "", nil })[0]
+			until(t, "a leader", func() bool { return uids(t, one) == "" })
+			applied, respond := make(chan struct{}), make(chan struct{})
+			replica := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: one.cfg.Listen})
+			proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != listserver.ListPath+"/s1" || r.Method != http.MethodPost {
+					replica.ServeHTTP(w, r)
+					return
+				}
+				response := httptest.NewRecorder()
+				replica.ServeHTTP(response, r)
+				close(applied)
+				if <-respond; responds {
+					w.WriteHeader(response.Code)
+					return
+				}
+				panic(http.ErrAbortHandler)
+			}))
+			defer proxy.Close()
+			a := &agent.Registrar{Replicas: []string{proxy.Listener.Addr().String()}, Lease: time.Hour,
+				DrainTime: 100 * time.Millisecond, Entry: *testEntry("s1", 7)}
+			ctx, stop := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- a.Run(ctx) }()
+			<-applied
+			if got := uids(t, one); got != "s1=Ready" {
+				t.Errorf("after the registration the list is %s", got)
+			}
+			w := watch(t, one.cfg.Listen, 0)
+			w.next(t)
+			stop()
+			close(respond)
+			var states []string
+			for len(states) == 0 || states[len(states)-1] != state.Gone {
+				for _, e := range w.next(t).Targets {
+					states = append(states, e.State)
+				}
+			}
+			if got := strings.Join(states, " "); got != "Terminating Gone" {
+				t.Errorf("states while the agent stops: %s", got)
+			}
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 // A server whose health checks fail for a full lease term is removed from the list.
 func TestAgent_failedHealthCheck(t *testing.T) {
 	one := cluster(t, 1, func(c *Config) { c.Dir, c.Peers = "", nil })[0]
