Keep a connection whose attempt ended before its first byte

Callers saw no break, but one more handshake: a connection that came up for a request that had just ended was closed unused, at servers whose connections are scarce.

Two causes were possible, an attempt that begins after its client has gone, or a connection lost. It is the second: requestWriter.write checks Call.Finished under the write lock before anything is sent, and finishUnwritten then closed the connection whatever had been written. TestUnwrittenConn_staysInPool holds the attempt at that lock; before, all of its 8 cases failed with one connection more than needed (2 for 1 and 3 for 2).

Now a connection to which nothing was written is given back: to an attempt that waits if it has carried no request, else to the idle ones, which stay in the order of their idle time. The writer is detached first, so that a late stop of the old attempt does not set a deadline on a connection that serves another request.

--- a/internal/sidecar/upstream/dial.go
+++ b/internal/sidecar/upstream/dial.go
@@ -133,12 +133,34 @@
 	}
 }
 
-// deliver passes a new connection to the attempt that has waited longest, and returns true. If no attempt waits, it
-// keeps the connection idle and returns false.
+// deliver passes a connection that was just established to a waiting attempt, as assign does.
 func (p *Pool) deliver(conn *serverConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conn.server.dialing--
+	return p.assign(conn)
+}
+
+// giveBack returns a connection to the pool to which its attempt has written nothing. One that has carried no request yet
+// goes to a waiting attempt, if there is one.
+func (p *Pool) giveBack(conn *serverConn, reused bool) {
+	if reused {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.addIdle(conn)
+		return
+	}
+	p.mu.Lock()
+	assigned := p.assign(conn)
+	p.mu.Unlock()
+	if !assigned {
+		p.post(ConnectionReady{conn.server})
+	}
+}
+
+// assign passes a connection that has carried no request to the attempt that has waited longest, and returns true. If no
+// attempt waits, it keeps the connection idle and returns false. The caller holds the lock.
+func (p *Pool) assign(conn *serverConn) bool {
 	if len(conn.server.waiting) == 0 {
 		p.addIdle(conn)
 		return false
--- a/internal/sidecar/upstream/exchange.go
+++ b/internal/sidecar/upstream/exchange.go
@@ -187,7 +187,7 @@
 	if !writer.respondedEarly() || !rejectedEarly(writer.conn, x.request) {
 		result = unwrittenResult(ctx, x.sendDeadline, cause)
 	}
-	x.pool.discard(writer.conn)
+	x.returnConnection(writer)
 	if errors.Is(cause, routing.ErrRevoked) {
 		return inflight.AttemptOutcome{Result: balance.NotSent, RouteRevoked: true}, false
 	}
@@ -197,6 +197,21 @@
 	return inflight.AttemptOutcome{Result: result}, false
 }
 
+// returnConnection ends the use of a connection whose request was not written completely. If nothing was written, the
+// connection can carry another request: it has cost its server a handshake.
+func (x *exchange) returnConnection(writer *requestWriter) {
+	if writer.started {
+		x.pool.discard(writer.conn)
+		return
+	}
+	writer.detach()
+	if !writer.conn.reusable() {
+		x.pool.discard(writer.conn)
+		return
+	}
+	x.pool.giveBack(writer.conn, writer.reused)
+}
+
 // mayUseAnotherConnection reports whether a request that was not completely written to a reused connection may move to
 // another one. It may if the server closed the connection while it was idle, there is time left, and no byte of a
 // forwarded body has been consumed.
--- a/internal/sidecar/upstream/pool.go
+++ b/internal/sidecar/upstream/pool.go
@@ -117,7 +117,7 @@
 	p.addIdle(conn)
 }
 
-// addIdle adds a connection to the idle ones of its server. It closes the connection instead if the server was
+// addIdle adds a connection to the idle ones of its server, which are in the order of idleSince. It closes the connection instead if the server was
 // retired, the pool was closed or the limit was lowered in the meantime: Retire, Close and SetLimit only close
 // connections that are idle at the time. The caller holds the lock.
 func (p *Pool) addIdle(conn *serverConn) {
@@ -127,7 +127,10 @@
 		p.open--
 		return
 	}
-	conn.server.idle = append(conn.server.idle, conn)
+	at, _ := slices.BinarySearchFunc(conn.server.idle, conn, func(a, b *serverConn) int {
+		return a.idleSince.Compare(b.idleSince)
+	})
+	conn.server.idle = slices.Insert(conn.server.idle, at, conn)
 	p.idleServers[conn.server] = struct{}{}
 }
 
--- a/internal/sidecar/upstream/pool_test.go
+++ b/internal/sidecar/upstream/pool_test.go
@@ -73,6 +73,60 @@
 	}
 }
 
+// An attempt that ends before its first byte leaves its connection to the next attempt, which writes to it: the connection
+// has cost its server a handshake.
+func TestUnwrittenConn_staysInPool(t *testing.T) {
+	for name, end := range map[string]func(*Attempt){
+		"cancelled":              func(a *Attempt) { a.Cancel(); a.Call.Finish() },
+		"response sent":          func(a *Attempt) { a.Call.Finish() },
+		"cancelled a bit later":  func(a *Attempt) { a.Call.Finish(); time.AfterFunc(time.Millisecond, a.Cancel) },
+		"cancelled concurrently": func(a *Attempt) { a.Call.Finish(); go a.Cancel() },
+	} {
+		for _, reused := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reused %v", name, reused), func(t *testing.T) {
+				b := sidecartest.NewBackend(t, "a", sidecartest.OK)
+				p, first, conn, _ := newExchange(t, b)
+				first.Call.Outbound = outboundPost([]byte("plate 12-34"))
+				maxConns := int64(1)
+				if p.release(conn); !reused {
+					p.CloseIdle(first.Server)
+					maxConns = 2
+				}
+				first.Call.WriteLock.Lock() // the attempt gets its connection and waits here
+				done := make(chan inflight.AttemptOutcome, 1)
+				go func() { done <- p.Send(first) }()
+				sidecartest.Until(t, "the connection", func() bool {
+					return openCount(p) == 1 && idleCount(p, first.Server) == 0 && dialCount(p, first.Server) == 0
+				})
+				end(first)
+				first.Call.WriteLock.Unlock()
+				if r := sidecartest.Receive(t, "the end of the attempt", done); r.Result != balance.NotSent {
+					t.Fatalf("result %v, want not sent", r.Result)
+				}
+				next := nextAttempt(first)
+				next.Call = &inflight.Call{Outbound: first.Call.Outbound}
+				next.Context, next.Cancel = context.WithCancel(t.Context())
+				defer next.Cancel()
+				if r := p.Send(next); r.Result != balance.OK {
+					t.Errorf("the next attempt: result %v", r.Result)
+				}
+				if n := b.Conns.Load(); n > maxConns || openCount(p) != 1 {
+					t.Errorf("%d connections, want %d at most; %d are counted as open, want 1", n, maxConns, openCount(p))
+				}
+				if n := b.Requests.Load(); n != 1 {
+					t.Errorf("the server got %d requests, want only that of the next attempt", n)
+				}
+			})
+		}
+	}
+}
+
+func dialCount(p *Pool, server *Server) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return server.dialing
+}
+
 func idleCount(p *Pool, server *Server) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/sidecar/upstream/request_stream.go
+++ b/internal/sidecar/upstream/request_stream.go
@@ -122,11 +122,11 @@
 	if err := w.extendWriteDeadline(); err != nil {
 		return 0, err
 	}
-	if !w.streamStarted {
+	if !w.started {
 		if err := w.startStream(); err != nil {
 			return 0, err
 		}
-		w.streamStarted = true
+		w.started = true
 	}
 	return w.conn.Write(p)
 }
--- a/internal/sidecar/upstream/request_writer.go
+++ b/internal/sidecar/upstream/request_writer.go
@@ -27,12 +27,13 @@
 	routeCheck     *routing.AttemptCheck // nil if no route applies
 	headerRevision int64                 // the revision of the routes in the rendered head
 	call           *inflight.Call        // set if the body is forwarded, nil otherwise
-	streamStarted  bool                  // the first byte of a request with a forwarded body has been written
+	started        bool                  // the first byte of the request may have been written
 	earlyResponse  *earlyResponseWatch   // nil until a body is forwarded
 
-	mu    sync.Mutex // guards the fields below and the deadlines of conn
-	state writerState
-	body  *inflight.UploadReader // nil until a body is forwarded
+	mu       sync.Mutex // guards the fields below and the deadlines of conn
+	state    writerState
+	body     *inflight.UploadReader // nil until a body is forwarded
+	detached bool                   // the connection may be in use for another request
 }
 
 // writerState is how far a request writer has been stopped. It never decreases.
@@ -60,12 +61,22 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.state = writerStopped
-	w.conn.SetDeadline(netcall.PastDeadline)
+	if !w.detached {
+		w.conn.SetDeadline(netcall.PastDeadline)
+	}
 	if w.body != nil {
 		w.body.Stop()
 	}
 }
 
+// detach ends the use of the connection and removes its deadline. Later calls of stop do not affect the connection.
+func (w *requestWriter) detach() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.detached = true
+	w.conn.SetDeadline(time.Time{})
+}
+
 // interrupt ends the forwarding of a body. The connection can be read again after setDeadline.
 func (w *requestWriter) interrupt() {
 	w.mu.Lock()
@@ -159,6 +170,7 @@
 	if err := w.startOnRoute(&text, req, attempt); err != nil {
 		return false, err
 	}
+	w.started = true
 	n, err := w.conn.Write(text.Bytes())
 	return n == text.Len(), err
 }
