Do not apply a configuration that another SIGHUP arrived for while it was read

Seen in TestReload_lastOfSeveral beside load: a call at 'late' after the one at 'last'. To be told apart were a product that applies configurations out of order and a test whose handlers report out of order.

They are applied in order: Reload runs in one goroutine, which applies what it reads. But 'late' was applied although three signals had arrived during its reading, so its list service is called for a moment. The test's two handlers report these two calls from two goroutines.

--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -70,6 +70,56 @@
 	})
 }
 
+// A configuration during whose reading another signal arrived may be outdated, so it is not applied. A change is applied
+// in the end even if a signal arrives during every reading.
+func TestReload_signalDuringRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		signals    int64 // number of readings during which a signal arrives
+		wantsStale bool
+	}{"twice": {2, false}, "always": {1 << 20, true}} {
+		t.Run(name, func(t *testing.T) {
+			before, stale, last := sidecartest.NewFakeDiscovery(t), sidecartest.NewFakeDiscovery(t), sidecartest.NewFakeDiscovery(t)
+			conf := configtest.NewConf(before.Addr())
+			s := start(t, conf)
+			sidecartest.Receive(t, "the watch", before.Calls)
+			stalePath, lastPath := withDiscovery(conf, stale.Addr()).Write(t), withDiscovery(conf, last.Addr()).Write(t)
+			signals, reads := make(chan os.Signal, 1), atomic.Int64{}
+			env := func(name string) string {
+				if name != "NODE_CONFIG" {
+					return ""
+				}
+				n := reads.Add(1)
+				if n == 2 && !c.wantsStale { // a stale configuration that was applied has time to show
+					select {
+					case <-stale.Calls:
+						t.Error("an outdated configuration was applied")
+					case <-time.After(200 * time.Millisecond):
+					}
+				}
+				if n > c.signals {
+					return lastPath
+				}
+				signals <- syscall.SIGHUP
+				return stalePath
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				s.ReloadOnSignal(ctx, signals, env)
+			}()
+			signals <- syscall.SIGHUP
+			if c.wantsStale {
+				sidecartest.Receive(t, "the watch at the stale address", stale.Calls)
+			} else {
+				sidecartest.Receive(t, "the watch at the last address", last.Calls)
+			}
+			cancel()
+			<-ended
+		})
+	}
+}
+
 // One signal is enough: a file that cannot be opened or is half written is read again until discovery can use its
 // address.
 func TestReload_MovesOnceReadable(t *testing.T) {
