Read the lab's clock step before the clocks, so that a slow file hides none

Seen in TestClockStep_SlowStart/-30s: a server that restarted after a step got more than the 15 of 60 requests that a server in slow start may get.

The stand-in is at fault, not the decision: in service there is no fault file, and both clocks are read in one call. With a fault file they were read around the file. The step is read first now, and then both clocks at once.

maxReadTime and the flag of a held reading have nothing left to tell. The two cases of TestStepDetector that set the flag show the same hold-ups by their values now: a reading that is off by a second is refused by the reading that follows it. TestStepDetector_slowFaultFile makes each reading of the file take 20 ms.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -158,6 +158,9 @@
 	return config
 }
 
+// ClockStep returns the offset that Now adds to the wall clock time.
+func (in *Injector) ClockStep() time.Duration { return time.Duration(in.currentConfig().ClockStep) }
+
 // Now returns the wall clock time plus ClockStep. The result has no monotonic part: elapsed times are measured with
 // package time.
 func (in *Injector) Now() time.Time {
--- a/internal/sidecar/clock/clock.go
+++ b/internal/sidecar/clock/clock.go
@@ -16,7 +16,7 @@
 
 // New returns a clock that starts at the time of the wall clock, which includes a step injected by faults.
 func New(faults *fault.Injector) Clock {
-	wall, start, _ := wallReader(faults)()
+	wall, start := wallReader(faults.ClockStep)()
 	return Clock{start: start, base: UnixMillis(wall)}
 }
 
--- a/internal/sidecar/clock/step_detector_test.go
+++ b/internal/sidecar/clock/step_detector_test.go
@@ -8,14 +8,11 @@
 )
 
 func TestStepDetector(t *testing.T) {
-	type reading struct {
-		offset time.Duration // of the wall clock from the monotonic clock
-		held   bool          // whether the process was held up between the two reads
-	}
+	type reading time.Duration // offset of the wall clock from the monotonic clock
 	const ahead, back = time.Hour, -30 * time.Second
 	const fifth, tenth = 200 * time.Millisecond, 100 * time.Millisecond
-	at := func(offset time.Duration) reading { return reading{offset, false} }
-	held := func(offset time.Duration) reading { return reading{offset, true} }
+	at := func(offset time.Duration) reading { return reading(offset) }
+	held := func(offset time.Duration) reading { return reading(offset - time.Second) } // the process is held up between both clocks
 	for name, c := range map[string]struct {
 		readings []reading // in order; each check uses one, or two if the first shows a step
 		checks   int
@@ -27,7 +24,7 @@
 		"a second":            {[]reading{at(time.Second), at(time.Second)}, 1, []float64{1e3}},
 		"held up once":        {[]reading{at(-time.Second), at(0), at(0)}, 2, nil},
 		"held up twice":       {[]reading{at(-time.Second), at(-2 * time.Second), at(0)}, 2, nil},
-		"held up, noticed":    {[]reading{held(ahead), at(0)}, 2, nil},
+		"held up, unstepped":  {[]reading{held(0), at(0), held(0), at(0)}, 2, nil},
 		"held up over a step": {[]reading{at(ahead), held(ahead), at(ahead), at(ahead)}, 2, []float64{3.6e6}},
 		"below the minimum":   {[]reading{at(tenth), at(-tenth)}, 2, nil},
 		"small steps add up":  {[]reading{at(fifth), at(2 * fifth), at(2 * fifth)}, 2, []float64{400}},
@@ -36,11 +33,11 @@
 			start := time.Now()
 			detector := NewStepDetector(Clock{start: start, base: UnixMillis(start)}, nil)
 			next := 0
-			detector.read = func() (wall, at time.Time, ok bool) {
+			detector.read = func() (wall, at time.Time) {
 				r := c.readings[next]
 				next++
 				at = start.Add(time.Duration(next) * time.Second)
-				return at.Add(r.offset), at, !r.held
+				return at.Add(time.Duration(r)), at
 			}
 			var steps []float64
 			for range c.checks {
@@ -54,3 +51,20 @@
 		})
 	}
 }
+
+// A step is detected even if it takes long to read the fault file that injects it, and no step is reported because of
+// that time.
+func TestStepDetector_slowFaultFile(t *testing.T) {
+	const readTime = 20 * time.Millisecond
+	for _, step := range []time.Duration{0, -30 * time.Second} {
+		detector := NewStepDetector(New(nil), nil)
+		detector.read = wallReader(func() time.Duration {
+			time.Sleep(readTime)
+			return step
+		})
+		got, stepped := detector.Check()
+		if stepped != (step != 0) {
+			t.Errorf("a step of %v is reported as %v", step, got)
+		}
+	}
+}
--- a/internal/wallclock/wallclock_test.go
+++ b/internal/wallclock/wallclock_test.go
@@ -118,8 +118,7 @@
 		"r.client.cfg.Now": {1, "time.Now except in tests; its monotonic part is used"},
 	},
 	"internal/sidecar/clock/step_detector.go": {
-		"faults.Now":  {1, "compared with the monotonic clock to detect steps"},
-		"t.UnixMicro": {1, "as above, and the start of the sidecar's clock, which is monotonic from then on"},
+		"t.UnixMicro": {1, "compared with the monotonic clock to detect steps, and the start of the sidecar's clock, which is monotonic from then on"},
 	},
 	"internal/sidecar/netcall/conn.go": {
 		"time.Unix": {1, "a constant: a deadline in the distant past, regardless of the clock"},
