Let TestReload_newAddress tell a repeated call from a call after the change

The test took the call after the first one to be at the new address. But a sidecar repeats a call to an agent that sends no list, 100 ms after the first with this configuration, so the test had that long from the first call until the sidecar applied the file; an editor or os.WriteFile that cuts the file first costs a retry of 20 ms.

The sidecar does what it should: until the new address can be read the old one is all it has.

In its place: the new address is called after the signals, and from 0.5 s after that, five repeats, the old one is never called again for as long. That is stricter than before: the old test ended with the first call to the new address.

--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -248,6 +248,22 @@
 	}
 }
 
+// lastCallsLimit is several times the pause between two calls to a list service that does not respond.
+const lastCallsLimit = 500 * time.Millisecond
+
+// collectCalls returns the names of the list services that are called within a time.
+func collectCalls(calls <-chan string, within time.Duration) (names []string) {
+	limit := time.After(within)
+	for {
+		select {
+		case name := <-calls:
+			names = append(names, name)
+		case <-limit:
+			return names
+		}
+	}
+}
+
 // The platform replaces the file and sends SIGHUP. The environment variable still has the address from the start, which
 // the new file overrides.
 func TestReload_newAddress(t *testing.T) {
@@ -273,8 +289,11 @@
 		}
 		cmd.signal(t, syscall.SIGHUP)
 	}
-	if name := next(); name != "after" {
-		t.Errorf("%s was called after the signal", name)
+	// Until the new address is applied, the old one is called again: the sidecar repeats a call that gets no response.
+	waitForCall(t, calls, "after", logLimit)
+	collectCalls(calls, lastCallsLimit) // of calls to the old address that were on their way
+	if names := collectCalls(calls, lastCallsLimit); slices.Contains(names, "before") {
+		t.Errorf("calls long after the change of the address: %v", names)
 	}
 	cmd.terminate(t)
 	if t.Failed() {
