--- a/cmd/marblelane/registry_client.go
+++ b/cmd/marblelane/registry_client.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -16,7 +19,37 @@
 	Wait time.Duration `help:"Maximum time to wait for a response." default:"10s"`
 }
 
-// call sends a request and returns the response body. A status other than 2xx is an error.
+// statusError is a response with a status other than 2xx.
+type statusError struct {
+	addr   string
+	code   int
+	status string // code and text of the status line
+	body   string
+}
+
+// Error returns the status and the start of the body.
+func (e *statusError) Error() string {
+	return fmt.Sprintf("%s: response status %s: %s", e.addr, e.status, e.body)
+}
+
+// hasStatus reports whether an error is a response with one of the status codes.
+func hasStatus(err error, codes ...int) bool {
+	var response *statusError
+	return errors.As(err, &response) && slices.Contains(codes, response.code)
+}
+
+// mayHaveApplied reports whether a write that returned an error may have been applied, or still be. It is not if no
+// connection was established or the replica rejected it.
+func mayHaveApplied(err error) bool {
+	var failed *net.OpError
+	if errors.As(err, &failed) && failed.Op == "dial" {
+		return false
+	}
+	var response *statusError
+	return !errors.As(err, &response) || response.code/100 != 4
+}
+
+// call sends a request and returns the response body. A status other than 2xx is a statusError.
 func (r *replicaClient) call(a *app, method, path string, body []byte) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(a.ctx, method, "http://"+r.Addr+path, bytes.NewReader(body))
 	if err != nil {
@@ -30,7 +63,7 @@
 	if resp.StatusCode/100 != 2 {
 		defer resp.Body.Close()
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
-		return nil, fmt.Errorf("%s: response status %s: %s", r.Addr, resp.Status, bytes.TrimSpace(text))
+		return nil, &statusError{r.Addr, resp.StatusCode, resp.Status, string(bytes.TrimSpace(text))}
 	}
 	return resp.Body, nil
 }
--- a/cmd/marblelane/registry_replace_copy.go
+++ b/cmd/marblelane/registry_replace_copy.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/url"
 	"slices"
 	"strings"
@@ -19,6 +20,8 @@
 	replaceRetryInterval = 100 * time.Millisecond // time between two attempts of a step
 	// recentAck is the age of its last acknowledgement below which a replica counts as alive.
 	recentAck = 2 * time.Second
+	// outcomeTimeout limits the query for the outcome of a change that got no response.
+	outcomeTimeout = 2 * time.Second
 )
 
 // registryReplaceCopy replaces a replica of the cluster with another one.
@@ -73,8 +76,28 @@
 	a              *app
 	target         uint64          // index that the new replica must have applied to get its vote; 0 means not set yet
 	printed        map[string]bool // lines already printed, without their digits
-	learnerAdded   bool            // the new replica may have been added without a vote
-	unacknowledged bool            // the new replica has acknowledged nothing to the leader
+	learner        learnerState
+	unacknowledged bool // the new replica has acknowledged nothing to the leader
+}
+
+// learnerState is what is known of whether the new replica is a learner, a replica without a vote.
+type learnerState uint8
+
+const (
+	noLearner      learnerState = iota // it is no replica, or it has a vote
+	isLearner                          // the leader lists it, or has added it
+	learnerUnknown                     // a change of it was requested, and the outcome is not known
+)
+
+// String returns the name of the state.
+func (s learnerState) String() string {
+	switch s {
+	case isLearner:
+		return "learner"
+	case learnerUnknown:
+		return "unknown"
+	}
+	return "no learner"
 }
 
 // printOnce prints a line once, not at each attempt. Lines that differ only in their digits count as the same.
@@ -91,17 +114,63 @@
 	}
 }
 
-// withProgress adds to an error what the replacement has changed so far and how to undo it.
+// withProgress adds to an error what the replacement has changed so far and how to undo it. If the outcome of the last
+// change is not known, it asks the leader first.
 func (r *replacement) withProgress(err error) error {
-	if err == nil || !r.learnerAdded {
-		return err
+	if err == nil {
+		return nil
+	}
+	if r.learner == learnerUnknown {
+		r.resolveOutcome()
 	}
-	ackNote := ""
-	if r.unacknowledged {
-		ackNote = fmt.Sprintf(", and has acknowledged nothing at %s", r.Raft)
+	switch r.learner {
+	case isLearner:
+		ackNote := ""
+		if r.unacknowledged {
+			ackNote = fmt.Sprintf(", and has acknowledged nothing at %s", r.Raft)
+		}
+		return fmt.Errorf("%w\n%s remains a replica without a vote%s; to remove it: "+
+			"marblelane registry remove-copy %s --addr %s", err, r.New, ackNote, r.New, r.Addr)
+	case learnerUnknown:
+		return fmt.Errorf("%w\nit is not known whether %s is a replica: the last change got no response; to check: "+
+			"marblelane registry status --addr %s", err, r.New, r.Addr)
+	}
+	return err
+}
+
+// resolveOutcome asks the leader for the outcome of a change that got no response. It stays unknown if the leader does
+// not respond, or does not list the new replica: the change may still be applied.
+func (r *replacement) resolveOutcome() {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.a.ctx), outcomeTimeout)
+	defer cancel()
+	a := *r.a
+	a.ctx = ctx
+	query := replacement{registryReplaceCopy: r.registryReplaceCopy, a: &a}
+	_, st, err := query.findLeader()
+	if err != nil {
+		return
+	}
+	if added, found := findReplica(st.Replicas, r.New); found {
+		r.recordStatus(added, found)
+	}
+}
+
+// recordStatus records whether the new replica is a learner according to the leader.
+func (r *replacement) recordStatus(added listserver.ReplicaStatus, found bool) {
+	r.learner, r.unacknowledged = noLearner, added.AckMS < 0
+	if found && !added.Votes {
+		r.learner = isLearner
+	}
+}
+
+// recordChange records the result of a change after which the new replica is in the given state, if it was applied.
+func (r *replacement) recordChange(err error, applied learnerState) {
+	switch {
+	case err == nil:
+		r.learner = applied
+	case mayHaveApplied(err):
+		r.learner = learnerUnknown
 	}
-	return fmt.Errorf("%w\n%s remains a replica without a vote%s; to remove it: "+
-		"marblelane registry remove-copy %s --addr %s", err, r.New, ackNote, r.New, r.Addr)
 }
 
 // step takes the next step of the replacement. An error that is not errPermanent is what it waits for.
@@ -112,7 +181,7 @@
 	}
 	old, oldFound := findReplica(st.Replicas, r.Old)
 	added, newFound := findReplica(st.Replicas, r.New)
-	r.learnerAdded, r.unacknowledged = newFound && !added.Votes, added.AckMS < 0
+	r.recordStatus(added, newFound)
 	switch {
 	case newFound && added.Raft != r.Raft:
 		return false, fmt.Errorf("%w: replica %s is at %s, not at %s", errPermanent, r.New, added.Raft, r.Raft)
@@ -142,7 +211,8 @@
 		}
 		r.printOnce(fmt.Sprintf("adding %s as a learner (membership state of %s: %s)", r.New, r.Old, old.Member))
 		err = r.post(leader, r.New, "/learn", body)
-		r.learnerAdded, r.unacknowledged = err == nil || !strings.Contains(err.Error(), " 409 "), true
+		r.unacknowledged = true
+		r.recordChange(err, isLearner)
 		return false, err
 	case !added.Votes:
 		if r.target == 0 {
@@ -152,7 +222,9 @@
 			return false, fmt.Errorf("%s to catch up with what is committed", r.New)
 		}
 		r.printOnce(r.New + " has caught up, adding it as a voter")
-		return false, r.post(leader, r.New, "/promote", nil)
+		err = r.post(leader, r.New, "/promote", nil)
+		r.recordChange(err, noLearner)
+		return false, err
 	}
 	r.printOnce(r.Old + " is being removed")
 	if err := r.post(leader, r.Old, "/retire", nil); err != nil {
@@ -249,7 +321,7 @@
 	if err == nil {
 		return response.Close()
 	}
-	if strings.Contains(err.Error(), " 404 ") {
+	if hasStatus(err, http.StatusNotFound) {
 		return fmt.Errorf("%w: the leader runs an earlier version: %w", errPermanent, err)
 	}
 	return err
--- a/cmd/marblelane/registry_replace_copy_test.go
+++ b/cmd/marblelane/registry_replace_copy_test.go
@@ -5,12 +5,16 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -210,3 +214,51 @@
 	require.Equal(t, exitOK, run(t.Context(), strings.Fields(command), &out, &errOut), "%s%s", &out, &errOut)
 	require.Eventually(t, func() bool { return len(all[0].status(t).Replicas) == 3 }, 20*time.Second, 10*time.Millisecond)
 }
+
+// A change whose response is lost is not reported as made: the command asks the leader, or says that the outcome is not
+// known.
+func TestReplaceCopy_outcomeUnknown(t *testing.T) {
+	const remains, unknown = "r3 remains a replica without a vote", "it is not known whether r3 is a replica"
+	old := listserver.ReplicaStatus{Name: "r2", Raft: "127.0.0.1:1", Votes: true, AckMS: -1, Member: membership.Gone}
+	learner := listserver.ReplicaStatus{Name: "r3", Raft: "127.0.0.1:2", AckMS: -1, Member: membership.Alive}
+	voter := learner
+	voter.Votes = true
+	for name, c := range map[string]struct {
+		before, after []listserver.ReplicaStatus // the leader's replicas before and after the change
+		silent        bool                       // the leader answers nothing after the change
+		want          string                     // empty if nothing is to be undone
+	}{
+		"learner added":   {before: []listserver.ReplicaStatus{old}, after: []listserver.ReplicaStatus{old, learner}, want: remains},
+		"learner not yet": {before: []listserver.ReplicaStatus{old}, after: []listserver.ReplicaStatus{old}, want: unknown},
+		"no answer":       {before: []listserver.ReplicaStatus{old}, silent: true, want: unknown},
+		"promoted":        {before: []listserver.ReplicaStatus{old, learner}, after: []listserver.ReplicaStatus{old, voter}},
+		"not promoted":    {before: []listserver.ReplicaStatus{old, learner}, after: []listserver.ReplicaStatus{old, learner}, want: remains},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var changed atomic.Bool
+			leader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				st := listserver.Status{Name: "r3", Leads: true, Leader: "r1", Replicas: c.before}
+				switch {
+				case r.Method == http.MethodPost || changed.Load() && c.silent:
+					_, _ = io.Copy(io.Discard, r.Body) // from now on the end of the connection cancels the request
+					changed.Store(true)
+					<-r.Context().Done()
+					return
+				case changed.Load():
+					st.Replicas = c.after
+				}
+				assert.NoError(t, json.NewEncoder(w).Encode(st))
+			}))
+			defer leader.Close()
+			addr := leader.Listener.Addr().String()
+			var out, errOut bytes.Buffer
+			args := []string{"registry", "replace-copy", "--addr", addr, old.Name, learner.Name, learner.Raft, addr, "--within", "500ms"}
+			require.Equal(t, exitUsage, run(t.Context(), args, &out, &errOut), "%s%s", &out, &errOut)
+			require.True(t, changed.Load(), "no change was requested: %s%s", &out, &errOut)
+			for _, text := range []string{remains, unknown} {
+				assert.Equal(t, text == c.want, strings.Contains(errOut.String(), text), "%q in %s", text, &errOut)
+			}
+		})
+	}
+}
