--- a/internal/lab/agent/agent_test.go
+++ b/internal/lab/agent/agent_test.go
@@ -71,3 +71,44 @@
 		t.Errorf("read new watch: got %q, %v, want the change to Gone", line, err)
 	}
 }
+
+// A watch delivers each change, also one that is applied after a change that was published later.
+func TestPublish_laterChangeFirst(t *testing.T) {
+	log := record.New()
+	a, err := New(log, 1, []Entry{{Number: 3, State: Ready}, {Number: 4, State: Ready}},
+		func(int, int) string { return "127.0.0.1:1" }, func(int) *relay.Link { return relay.NewLink(relay.Rules{}, 1) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(a.Close)
+	next := watch(t, a)
+	a.Publish(Entry{Number: 3, UID: "s-3", State: Gone}, 200*time.Millisecond, 0)
+	a.Publish(Entry{Number: 4, UID: "s-4", State: Gone}, 0, 0)
+	for _, want := range []string{"s-4", "s-3"} {
+		if line, err := next(10 * time.Second); err != nil || !strings.Contains(line, want) {
+			t.Errorf("read watch: got %q, %v, want the change of %s", line, err, want)
+		}
+	}
+}
+
+// Changes of one entry take effect in the order in which they were published, also if the later one is applied first.
+func TestPublish_sameEntry(t *testing.T) {
+	a, err := New(record.New(), 2, []Entry{{Number: 4, State: Ready}}, func(int, int) string { return "127.0.0.1:1" },
+		func(int) *relay.Link { return relay.NewLink(relay.Rules{}, 1) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(a.Close)
+	next := watch(t, a)
+	a.Publish(Entry{Number: 4, State: Terminating}, 100*time.Millisecond, 0)
+	a.Publish(Entry{Number: 4, State: Gone}, 0, 50*time.Millisecond)
+	if line, err := next(10 * time.Second); err != nil || !strings.Contains(line, Gone) {
+		t.Errorf("read watch: got %q, %v, want the change to Gone", line, err)
+	}
+	if line, err := next(300 * time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read watch: got %q, %v, want no further change", line, err)
+	}
+	if l := a.ListFor(1); len(l.Targets) != 0 {
+		t.Errorf("the list of the last agent is %v, want none", l.Targets)
+	}
+}
