Do not count processes that are shut out for their schema as behind

Operators would see rollouts paused for good with 'too many processes are behind' once /routes/schema has shut out more than behind_share (0.3) of the processes: those cannot read the newest table, never acknowledge it, and were counted.

Found by reading while TestSchema_olderReadersBlock was traced. They now count neither as behind nor among all, as stepComplete and the check of a change leave them out already.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -20,6 +20,7 @@
 	rollouts          map[string]*rolloutProgress
 	accessChanges     []AccessChange // changes since the last Tick
 	closingRev        int64          // newest revision that this controller has asked to close
+	minSchema         int            // State.MinSchema as of the last sync
 	serviceFault      bool           // there are too many stragglers; valid if serviceFaultKnown
 	serviceFaultKnown bool           // serviceFault is up to date with the time, table and reports
 }
@@ -92,6 +93,9 @@
 	if now > c.now {
 		c.now, c.serviceFaultKnown = now, false
 	}
+	if minSchema := s.MinSchema(); minSchema != c.minSchema {
+		c.minSchema, c.serviceFaultKnown = minSchema, false
+	}
 	if n := len(c.revisionTimes); n > 0 && c.revisionTimes[n-1].rev >= s.Rev() {
 		return
 	}
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -82,6 +82,26 @@
 	require.NotContains(t, ops, OpForward)
 }
 
+// TestController_schemaShutOut checks that processes that are shut out for their schema do not pause a rollout: they never
+// acknowledge a newer revision, and that is no fault of the service.
+func TestController_schemaShutOut(t *testing.T) {
+	f := newTestFleet(t, 10, Defaults(), newSpec(3))
+	mustApply(t, f.state, Command{Op: OpSchema, Schema: 2})
+	for now := int64(0); now <= 12_000; now += 1000 {
+		for i := range f.sidecars {
+			if i < 5 {
+				f.report(now, i, true)
+				continue
+			}
+			r := f.sidecars[i].NextReport(nil)
+			r.Schemas = []int{1}
+			require.Contains(t, f.controller.Report(now, f.state, &r).Reason, "reads schemas up to 1, and 2 is asked for")
+		}
+		ops, _ := f.tick(t, now, 1)
+		require.NotContains(t, ops, OpPause, "%d ms", now)
+	}
+}
+
 func TestController_stepsAndPauses(t *testing.T) {
 	spec := newSpec(3)
 	spec.Steps[0] = Step{CanaryFraction: 0.1, HoldMS: 5500, MinAttempts: 10}
--- a/internal/rollout/reports.go
+++ b/internal/rollout/reports.go
@@ -124,7 +124,7 @@
 // shutOutReason returns the reason why a process is shut out of canaries, or an empty string if it is not. behind is the
 // result of behindFor.
 func (c *Controller) shutOutReason(s *State, p *processState, behind int64) string {
-	if newest := slices.Max(append([]int{0}, p.Schemas...)); newest < s.MinSchema() {
+	if newest := p.newestSchema(); newest < s.MinSchema() {
 		return fmt.Sprintf("it reads schemas up to %d, and %d is asked for", newest, s.MinSchema())
 	}
 	if behind >= c.options.ShutOutAfter && !c.serviceAtFault() {
@@ -162,14 +162,19 @@
 	return false
 }
 
-// serviceAtFault reports whether so many processes are stragglers that the cause must be the service itself.
+// newestSchema returns the newest schema that a process reads, or 0 if it has named none.
+func (p *processState) newestSchema() int { return slices.Max(append([]int{0}, p.Schemas...)) }
+
+// serviceAtFault reports whether so many processes are stragglers that the cause must be the service itself. Processes
+// that are shut out for their schema do not count: they cannot read a newer table, so that they stay behind through no
+// fault of the service.
 func (c *Controller) serviceAtFault() bool {
 	if c.serviceFaultKnown {
 		return c.serviceFault
 	}
 	total, stragglers := 0, 0
 	for _, p := range c.processes {
-		if !c.inContact(p) {
+		if !c.inContact(p) || p.newestSchema() < c.minSchema {
 			continue
 		}
 		total++
