Let the process that is in contact in TestSchema_olderReadersBlock catch up

Seen beside load: 'timed out waiting for the rejection of a reader of schema 1'. The test's process 'new' reports once and acts on no revision. If it reports later than the 25 old ones by more than the margin of their leases, it alone is in contact when the change is accepted; once it has lacked a revision for behind_after (1 s), all in contact are behind, so the service counts as at fault and the rollout pauses. After its one report nobody is in contact, and silence moves nothing: the rollout never resumes, and its table is never in force.

Now 'new' goes on reporting and acknowledges what it is told, as running processes do. The check is the same: 409 that names the classes.

--- a/internal/registry/routes_test.go
+++ b/internal/registry/routes_test.go
@@ -533,7 +533,8 @@
 		code, _ := newProcess(fmt.Sprintf("old%02d", i), 1).report(t, one.cfg.Listen)
 		require.Equal(t, 200, code)
 	}
-	newProcess("new", 1, 2).report(t, one.cfg.Listen)
+	newer := newProcess("new", 1, 2)
+	newer.report(t, one.cfg.Listen)
 	var f routeleader.Rejection
 	until(t, "the rejection", func() bool { // a new leader does not know all processes yet
 		code, text := call(t, "POST", one.cfg.Listen, path, classes)
@@ -556,7 +557,10 @@
 	})
 	_, a := newProcess("old00", 1).report(t, one.cfg.Listen)
 	assert.Zero(t, a.LeaseMS)
-	until(t, "the rejection of a reader of schema 1", func() bool { // the rollout pauses while silent processes count as behind
+	until(t, "the rejection of a reader of schema 1", func() bool {
+		// The rollout pauses while too many processes are behind, and resumes once they have caught up, as running ones do.
+		_, response := newer.report(t, one.cfg.Listen)
+		newer.AcknowledgedRev = response.NewestRev
 		code, text := call(t, "GET", one.cfg.Listen, "/routes?schema=1", "")
 		return code == 409 && strings.Contains(text, "classes")
 	})
