Take no load for a body that ends after its response has started

Callers of a sidecar whose uploads are answered before their last byte see more and more requests shed: each such attempt stays in the load in flight until the process ends.

By reading: onBodyComplete starts the load of each attempt that has not ended, also of one in the state answering, and onOutcome takes off no load once the response has started. TestRetry_bodyEndsAfterResponseStarted plays the order and failed before: 'the load is 0.0033 with 0 requests, want none'.

Now the last byte starts neither time nor load of an attempt whose response has started: it is not supervised any more.

--- a/balance/request_events.go
+++ b/balance/request_events.go
@@ -40,7 +40,7 @@
 }
 
 // onBodyComplete starts the time of a request and of its attempts, as the server has received the complete request only
-// now.
+// now. The load of an attempt whose response has started is over.
 func (b *Balancer) onBodyComplete(ev BodyComplete) {
 	r := b.requests[ev.Request]
 	if r == nil || r.state == requestDone || !r.BodyStreaming {
@@ -49,10 +49,12 @@
 	r.BodyStreaming = false
 	r.resetDeadline(b.now, ev.Remaining)
 	for i := range r.attempts {
-		if a := &r.attempts[i]; a.state != attemptEnded {
-			a.sentAt = b.now
-			b.admission.startLoad(r, a)
+		a := &r.attempts[i]
+		if a.state == attemptEnded || a.state == attemptResponding {
+			continue
 		}
+		a.sentAt = b.now
+		b.admission.startLoad(r, a)
 	}
 	b.advance(r)
 }
--- a/balance/retry_test.go
+++ b/balance/retry_test.go
@@ -208,6 +208,23 @@
 	}
 }
 
+// A body that ends after its response has started adds no load, as that of its attempt ended with the start of the response.
+func TestRetry_bodyEndsAfterResponseStarted(t *testing.T) {
+	h := newHarness(t, baseConfig(), identicalServers(3)...)
+	h.lastID++
+	id := h.lastID
+	h.handle(Request{ID: id, Class: nonIdempotentClass, Remaining: 600, BodyStreaming: true})
+	s := h.b.requests[id].attempts[0].server.ID
+	h.handle(ResponseStarted{Request: id, Server: s, Elapsed: 20})
+	h.now += 10
+	h.handle(BodyComplete{Request: id, Remaining: 600})
+	h.now += 10
+	h.handle(Outcome{Request: id, Server: s, Result: OK, Elapsed: 20, Finished: true})
+	if load := h.b.admission.inFlightLoad; load != 0 || len(h.b.requests) != 0 {
+		t.Errorf("the load is %v with %d requests, want none", load, len(h.b.requests))
+	}
+}
+
 // A request that never ran is sent again only if its body is still available.
 func TestRetry_consumedBody(t *testing.T) {
 	for _, consumed := range []bool{false, true} {
