End lab compare with LATE and 3 where the lab could not keep its times

TestLabCompare_programs failed beside load with 'the machine is too busy: the lab was late again and again': the command ended with 2, as for a call that cannot be meant, while docs/lab.md says 3 where the lab itself was late.

--- a/cmd/marblelane/lab_compare.go
+++ b/cmd/marblelane/lab_compare.go
@@ -31,6 +31,10 @@
 	}
 	defer done()
 	cmp, err := compare.Run(a.ctx, sides[0], sides[1], c.Seed, c.Plays, harness.Options{Log: a.log, Progress: a.errOut})
+	if errors.Is(err, compare.ErrLabLate) {
+		fmt.Fprintf(a.out, "LATE: %v\n", err)
+		return exitError(exitLate)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/lab/experiment/compare/compare.go
+++ b/internal/lab/experiment/compare/compare.go
@@ -67,7 +67,8 @@
 // maxLateRuns is the number of late runs of a side on a seed after which the comparison fails.
 const maxLateRuns = 3
 
-var errLabLate = errors.New("lab was late in every run: the machine is too busy")
+// ErrLabLate is returned if the lab was late in all runs of a side on a seed, so that there is no comparison.
+var ErrLabLate = errors.New("the lab was late in every run: the machine is too busy")
 
 // Run runs both sides on consecutive seeds, beginning with first. The sides take turns in going first, so that a change
 // of the machine's load favours neither. A run in which the lab was late is repeated with the same seed.
@@ -135,7 +136,7 @@
 			return completed, late, nil
 		}
 	}
-	return nil, maxLateRuns, errLabLate
+	return nil, maxLateRuns, ErrLabLate
 }
 
 // comparedFigures are the figures of a comparison, in the order of its rows.
