Add lab soak: drawn series of signals and faults, one for each seed

The lab's scenarios are fixed, so a fault at another moment never comes.

Not drawn: upgrades beside SIGTERM of the same sidecar, SIGHUP during a shutdown, real replicas of the list service.

--- a/cmd/marblelane/lab.go
+++ b/cmd/marblelane/lab.go
@@ -9,6 +9,7 @@
 	Simulate labSimulate `cmd:"" help:"Run a scenario on a simulated clock with the real decision modules, for fleets that are too large for one machine."`
 
 	Compare  labCompare  `cmd:"" help:"Run two builds or two scenarios alternately with the same seeds and print the difference."`
+	Soak     labSoak     `cmd:"" help:"Run sidecars through drawn series of faults, one for each seed, and name the seeds that violate an invariant."`
 	Scale    labScale    `cmd:"" help:"Run fleets of several sizes and print their resource use."`
 	Growth   labGrowth   `cmd:"" help:"Check the resource use of a sidecar in a large fleet against the growth table of the acceptance page."`
 	Overhead labOverhead `cmd:"" help:"Measure the latency that the lab itself adds to a response."`
