--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -78,3 +78,23 @@
 	text, err := io.ReadAll(resp.Body)
 	return &Outcome{Status: resp.StatusCode, Body: string(text), Took: time.Since(written), Err: err}
 }
+
+// callKept sends one request through a client that keeps its connections, and returns the answer.
+func callKept(client *http.Client, addr, method, class, id string) (status int, body string, err error) {
+	r, err := http.NewRequest(method, "http://"+addr+"/api", nil)
+	if err != nil {
+		return 0, "", err
+	}
+	r.Host = "backend.local"
+	r.Header.Set("X-Request-ID", id)
+	r.Header.Set("X-Priority-Class", class)
+	r.Header.Set("X-Tenant-Id", "shannonside")
+	r.Header.Set("X-Timeout-Ms", "700")
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
--- a/review/standin/heads.go
+++ b/review/standin/heads.go
@@ -48,7 +48,7 @@
 			client := &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
 			for i := 0; time.Now().Before(end); i++ {
 				id := fmt.Sprintf("%04x%012x", n, i)
-				status, _, err := saCall(client, sidecar.Listen, http.MethodGet, "stock-lookup", id)
+				status, _, err := callKept(client, sidecar.Listen, http.MethodGet, "stock-lookup", id)
 				c.Add("client %d: %s: %d %v", n, id, status, err)
 				if status == http.StatusOK && err == nil {
 					served.Add(1)
--- a/review/standin/second.go
+++ b/review/standin/second.go
@@ -91,7 +91,7 @@
 					method, class = http.MethodPost, "parcel-issue"
 				}
 				sent.Add(1)
-				status, body, err := saCall(client, sidecar.Listen, method, class, id)
+				status, body, err := callKept(client, sidecar.Listen, method, class, id)
 				c.Add("client %d: %s %s: %d %q %v", n, method, id, status, body, err)
 				switch {
 				case err == nil && status == http.StatusOK && body != id:
@@ -115,23 +115,3 @@
 		sent.Load(), served.Load(), spoilt.Load(), foreign.Load(), twice.Load())
 	return foreign.Load() > 0 || twice.Load() > 0
 }
-
-// saCall sends one request and returns its answer.
-func saCall(client *http.Client, addr, method, class, id string) (status int, body string, err error) {
-	r, err := http.NewRequest(method, "http://"+addr+"/api", nil)
-	if err != nil {
-		return 0, "", err
-	}
-	r.Host = "backend.local"
-	r.Header.Set("X-Request-ID", id)
-	r.Header.Set("X-Priority-Class", class)
-	r.Header.Set("X-Tenant-Id", "shannonside")
-	r.Header.Set("X-Timeout-Ms", "700")
-	resp, err := client.Do(r)
-	if err != nil {
-		return 0, "", err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(text), err
-}
