--- a/architecture_test.go
+++ b/architecture_test.go
@@ -20,7 +20,7 @@
 	{"internal/membership", "internal/audit", "internal/rollout", "internal/routeclient"},
 	{"internal/membership/addrcheck", "internal/membership/collect", "internal/membership/view",
 		"internal/membership/roster/model", "internal/rollout/model", "internal/snapshot/crashcheck"},
-	{"internal/sidecar/checkpoint", "internal/sidecar/clock", "internal/sidecar/netcall",
+	{"internal/sidecar/checkpoint", "internal/sidecar/clock", "internal/sidecar/memory", "internal/sidecar/netcall",
 		"internal/sidecar/endpointlist", "internal/sidecar/inflight", "internal/registry/state",
 		"internal/registry/transport", "internal/registry/operators"},
 	{"internal/registry/storage", "internal/registry/listserver"},
--- a/internal/sidecar/clientserver/body.go
+++ b/internal/sidecar/clientserver/body.go
@@ -36,37 +36,6 @@
 	errServiceEnded = errors.New("the service ended before the body was whole")
 )
 
-// bodyMemory limits the total size of all held bodies.
-type bodyMemory struct {
-	mu          sync.Mutex
-	limit, used int64 // bytes
-}
-
-// reserve reserves memory for a body. It returns false, and reserves nothing, if the limit would be exceeded.
-func (m *bodyMemory) reserve(bytes int) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.used+int64(bytes) > m.limit {
-		return false
-	}
-	m.used += int64(bytes)
-	return true
-}
-
-// release returns memory that reserve has reserved.
-func (m *bodyMemory) release(bytes int) {
-	m.mu.Lock()
-	m.used -= int64(bytes)
-	m.mu.Unlock()
-}
-
-// setLimit changes the limit. Memory that is already reserved stays reserved.
-func (m *bodyMemory) setLimit(bytes int64) {
-	m.mu.Lock()
-	m.limit = bytes
-	m.mu.Unlock()
-}
-
 // pacedBody reads a client's body and fails if it is received too slowly. Only the time that is spent waiting for the
 // client counts, and each received byte extends that time, at a rate of minBodyRate.
 type pacedBody struct {
--- a/internal/sidecar/clientserver/client_conn.go
+++ b/internal/sidecar/clientserver/client_conn.go
@@ -11,21 +11,26 @@
 	"syscall"
 	"time"
 
-	"marblelane/internal/sidecar/inflight"
+	"marblelane/internal/sidecar/memory"
 	"marblelane/internal/sidecar/netcall"
 )
 
 // epoch is the time from which ClientConn.lastRead counts, on the monotonic clock.
 var epoch = time.Now()
 
+// discardBufferSize is the size of the buffer of a connection whose input is discarded, in bytes. All connections may be
+// in that state at once.
+const discardBufferSize = 2 << 10
+
 // inputClosed is a special value of ClientConn.lastRead: bytes that the client sends are read and discarded.
 const inputClosed = math.MinInt64
 
 // ClientConn is the connection of a client.
 type ClientConn struct {
 	net.Conn
-	limiter  *Limiter
-	lastRead atomic.Int64 // when bytes were last read, in ns since epoch; 0: never; inputClosed: input is discarded
+	limiter    *Limiter
+	headMemory *memory.Reservation // closed with the connection
+	lastRead   atomic.Int64        // when bytes were last read, in ns since epoch; 0: never; inputClosed: input is discarded
 
 	// readLock is held while bytes are read from the system, and while the connection is selected for closing and
 	// half-closed. So bytes from the client are either read before the half-close and become part of a request, or are
@@ -181,10 +186,9 @@
 	timeout := time.AfterFunc(CloseWindow, func() { _ = c.closeNow() })
 	defer timeout.Stop()
 	c.Conn.SetReadDeadline(time.Time{})
-	buf := inflight.CopyBuffers.Get().(*[]byte)
-	defer inflight.CopyBuffers.Put(buf)
+	buf := make([]byte, discardBufferSize)
 	for {
-		if _, err := c.Conn.Read(*buf); err != nil {
+		if _, err := c.Conn.Read(buf); err != nil {
 			break
 		}
 	}
@@ -203,6 +207,7 @@
 	c.limiter.mu.Lock()
 	delete(c.limiter.conns, c)
 	c.limiter.mu.Unlock()
+	c.headMemory.Close()
 	c.limiter.wakeAdmit()
 	return c.Conn.Close()
 }
--- a/internal/sidecar/clientserver/conn_limiter.go
+++ b/internal/sidecar/clientserver/conn_limiter.go
@@ -1,6 +1,7 @@
 package clientserver
 
 import (
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -8,6 +9,7 @@
 	"time"
 
 	listening "marblelane/internal/listener"
+	"marblelane/internal/sidecar/memory"
 	"marblelane/internal/sidecar/netcall"
 )
 
@@ -29,9 +31,9 @@
 // partialRequestResponse rejects a request of which only part of the head has arrived. No server has run it.
 const partialRequestResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
-// Limiter is a listener that limits the number of open connections. At the limit it evicts a connection for each new
-// one, so that silent clients cannot prevent others from connecting. It never evicts a connection with an active
-// request, and evicts connections in the order of their evictionRank.
+// Limiter is a listener that limits the number of open connections, and the memory for the heads of their requests. At
+// the limit it evicts a connection for each new one, so that silent clients cannot prevent others from connecting. It
+// never evicts a connection with an active request, and evicts connections in the order of their evictionRank.
 type Limiter struct {
 	net.Listener
 	slotFreed    chan struct{} // gets a token when a connection was closed or the limit was changed; never closed
@@ -39,10 +41,12 @@
 	closeOnce    sync.Once
 	acceptsEnded atomic.Bool // Accept has failed after Close, so no further connection will be accepted
 	readCall     func(fd int, p []byte) (n int, err error)
+	heads        *memory.Budget // for the heads of requests, until their responses are written
 
-	mu    sync.Mutex // guards the fields below
-	limit int
-	conns map[*ClientConn]struct{}
+	mu           sync.Mutex // guards the fields below
+	limit        int
+	conns        map[*ClientConn]struct{}
+	headShortage headShortage
 }
 
 // NewLimiter returns a Limiter that accepts connections from a listener.
@@ -50,6 +54,7 @@
 	return &Limiter{
 		Listener: listener, limit: limit, conns: map[*ClientConn]struct{}{},
 		slotFreed: make(chan struct{}, 1), closed: make(chan struct{}), readCall: syscall.Read,
+		heads: memory.NewBudget(math.MaxInt64),
 	}
 }
 
@@ -68,7 +73,7 @@
 		}
 		return nil, err
 	}
-	conn := &ClientConn{Conn: accepted, limiter: l, readySince: time.Now()}
+	conn := &ClientConn{Conn: accepted, limiter: l, readySince: time.Now(), headMemory: l.heads.NewReservation()}
 	l.admit(conn)
 	return conn, nil
 }
--- a/internal/sidecar/clientserver/request_parser.go
+++ b/internal/sidecar/clientserver/request_parser.go
@@ -35,7 +35,7 @@
 	var remaining io.Reader
 	if r.ContentLength != 0 {
 		if remaining, err = s.readBody(w, r, call); err != nil {
-			s.bodyMemory.release(call.HeldBytes)
+			s.bodyMemory.Release(int64(call.HeldBytes))
 			return nil, nil, fmt.Errorf("body: %w", err)
 		}
 	}
@@ -43,7 +43,7 @@
 		call.Deadline = receivedAt(r).Add(call.Timeout) // the client's timeout starts at the last byte of the request
 	}
 	if r.Method == http.MethodGet && (remaining != nil || len(call.Outbound.Body) > 0) {
-		s.bodyMemory.release(call.HeldBytes)
+		s.bodyMemory.Release(int64(call.HeldBytes))
 		return nil, nil, errors.New("GET with a body")
 	}
 	return call, remaining, nil
@@ -86,7 +86,7 @@
 	if length >= 0 && length <= MaxHeldIfMemory {
 		held = int(length)
 	}
-	if !s.bodyMemory.reserve(held) {
+	if !s.bodyMemory.Reserve(int64(held)) {
 		return min(held, inflight.MinHeldBody)
 	}
 	call.HeldBytes = held
--- a/internal/sidecar/clientserver/server.go
+++ b/internal/sidecar/clientserver/server.go
@@ -16,6 +16,7 @@
 	"marblelane/internal/sidecar/config"
 	"marblelane/internal/sidecar/framing"
 	"marblelane/internal/sidecar/inflight"
+	"marblelane/internal/sidecar/memory"
 	"marblelane/internal/sidecar/metrics"
 	"marblelane/internal/sidecar/netcall"
 )
@@ -48,7 +49,7 @@
 // Server is the HTTP handler for the application.
 type Server struct {
 	options    Options
-	bodyMemory bodyMemory
+	bodyMemory memory.Budget // for held bodies
 	bodies     openBodies
 
 	draining       atomic.Bool
@@ -98,7 +99,7 @@
 func (s *Server) RequestLimit() int { return int(s.requestLimit.Load()) }
 
 // SetBodyMemory sets the memory for all held bodies, in bytes. A body may use up to inflight.MinHeldBody beyond it.
-func (s *Server) SetBodyMemory(bytes int64) { s.bodyMemory.setLimit(bytes) }
+func (s *Server) SetBodyMemory(bytes int64) { s.bodyMemory.SetLimit(bytes) }
 
 // AbortBodies rejects all requests whose body is being read before they are passed to the event loop, and all later
 // requests with a body.
@@ -160,7 +161,7 @@
 		writeParseError(w, r, err)
 		return
 	}
-	defer s.bodyMemory.release(call.HeldBytes)
+	defer s.bodyMemory.Release(int64(call.HeldBytes))
 	// The limit also bounds the number of goroutines and of connections to servers. The request has not been sent to a
 	// server, so a rejection is correct.
 	if s.requests.Add(1) > s.requestLimit.Load() {
--- a/internal/sidecar/config/memory.go
+++ b/internal/sidecar/config/memory.go
@@ -5,6 +5,7 @@
 const (
 	heapFraction = 0.75 // fraction of the memory limit for the Go runtime, which does not count all memory of the process
 	bodyFraction = 0.15 // fraction of the memory limit for buffered request bodies
+	headFraction = 0.1  // fraction of the memory limit for the heads of clients' requests
 	bytesPerMB   = 1 << 20
 )
 
@@ -17,6 +18,15 @@
 	return int64(float64(cfg.MemoryMB) * heapFraction * bytesPerMB / float64(processes))
 }
 
+// HeadMemory returns the maximum number of bytes of memory for the heads of clients' requests in all processes of this
+// sidecar together.
+func (cfg *Config) HeadMemory() int64 {
+	if cfg.MemoryMB == 0 {
+		return math.MaxInt32
+	}
+	return int64(float64(cfg.MemoryMB) * headFraction * bytesPerMB)
+}
+
 // BodyMemory returns the maximum number of bytes of buffered request bodies in all processes of this sidecar together.
 func (cfg *Config) BodyMemory() int64 {
 	if cfg.MemoryMB == 0 {
--- a/internal/sidecar/framing/framing.go
+++ b/internal/sidecar/framing/framing.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"marblelane/internal/sidecar/memory"
 	"marblelane/internal/sidecar/netcall"
 )
 
@@ -20,6 +21,10 @@
 	RequestRead()      // called when the head of a request has been read completely
 	ResponseWritten()  // called when the response to the request has been written
 	NetConn() net.Conn // returns the underlying connection
+
+	HeadMemory() *memory.Reservation // returns the memory that is reserved for the head that is being received
+	EvictHead() bool                 // frees memory that the incomplete head of another connection holds, if there is one
+	RejectHead()                     // rejects the request whose head is being received, as there is no memory for it
 }
 
 // HeadConn is a connection that records the head of the message that is being read, byte for byte. net/http drops a
@@ -28,10 +33,13 @@
 type HeadConn struct {
 	net.Conn
 	reader netcall.RetryingReader // used only by the goroutine that reads; there is one at a time
+	memory *memory.Reservation    // for the head; nil: not limited
 
 	mu           sync.Mutex // guards the fields below: net/http also reads while a handler runs
 	head         []byte     // the head as received, and the bytes that were read together with its end
+	lines        int        // number of lines of the head that were received
 	complete     bool       // head contains the empty line at its end, or is too long to be a head
+	active       bool       // a request has been read and has no response yet: further bytes are not part of its head
 	startedAt    time.Time  // when the first byte of the message came, or the connection was accepted; zero: not yet
 	reads        int        // number of calls of Read that are in progress
 	acceptedLate bool       // the first request may have arrived long before its connection was accepted
@@ -48,31 +56,45 @@
 // through Received when bytes were read. acceptedLate is true if the first request may have arrived long before the
 // connection was accepted.
 func NewClientHeadConn(c net.Conn, acceptedLate bool) *HeadConn {
-	return &HeadConn{Conn: c, startedAt: time.Now(), received: make(chan struct{}, 1), acceptedLate: acceptedLate}
+	head := &HeadConn{Conn: c, startedAt: time.Now(), received: make(chan struct{}, 1), acceptedLate: acceptedLate}
+	if tracked, ok := c.(TrackedConn); ok {
+		head.memory = tracked.HeadMemory()
+	}
+	return head
 }
 
 // Received returns a channel that gets a token after bytes were read. It is nil for a connection to a server.
 func (c *HeadConn) Received() <-chan struct{} { return c.received }
 
-// Read reads from the connection and records the bytes that belong to the head.
+// Read reads from the connection and records the bytes that belong to the head. It fails if there is no memory for them.
 func (c *HeadConn) Read(p []byte) (int, error) {
+	c.beginRead()
+	n, err := c.reader.Read(c.Conn, p)
+	c.endRead(n)
+	if !c.recordHead(p[:n]) {
+		return 0, c.rejectHead()
+	}
+	return n, err
+}
+
+func (c *HeadConn) beginRead() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.reads++
-	c.mu.Unlock()
-	n, err := c.reader.Read(c.Conn, p)
+}
+
+// endRead ends a read that has returned n bytes.
+func (c *HeadConn) endRead(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reads--
-	if n > 0 {
-		c.notifyReceived()
+	if n == 0 {
+		return
 	}
-	if n > 0 && c.startedAt.IsZero() {
+	c.notifyReceived()
+	if c.startedAt.IsZero() {
 		c.startedAt = time.Now()
 	}
-	if !c.complete {
-		c.appendHead(p[:n])
-	}
-	return n, err
 }
 
 // notifyReceived sends a token to received, unless it already holds one or is nil.
@@ -104,13 +126,17 @@
 		tracked.ResponseWritten()
 	}
 	c.mu.Lock()
-	c.head, c.complete, c.startedAt = c.head[:0], false, time.Time{}
+	c.discardHead()
+	c.active, c.startedAt = false, time.Time{}
 	c.acceptedLate = false
 	c.mu.Unlock()
 }
 
 // RequestRead notifies the underlying TrackedConn that a head has been read completely and its request is active.
 func (c *HeadConn) RequestRead() {
+	c.mu.Lock()
+	c.active = true
+	c.mu.Unlock()
 	if tracked, ok := c.Conn.(TrackedConn); ok {
 		tracked.RequestRead()
 	}
--- /dev/null
+++ b/internal/sidecar/head_memory_test.go
@@ -0,0 +1,114 @@
+package sidecar
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"marblelane/internal/sidecar/clientserver"
+	"marblelane/internal/sidecar/configtest"
+	"marblelane/internal/sidecar/endpointlist"
+	"marblelane/internal/sidecar/sidecartest"
+)
+
+const (
+	headPeers = 520   // peers that send a long head at the same time: nearly all client connections of 1,024 sockets
+	longHead  = 30000 // bytes of each such head; net/http accepts 32 KiB
+)
+
+// startWithMemory starts a sidecar of 32 MB and 1,024 sockets with one server.
+func startWithMemory(t *testing.T, server endpointlist.Target) *running {
+	t.Helper()
+	c := configtest.NewConf(sidecartest.NewFakeDiscovery(t).Addr(), server)
+	c["limits"] = map[string]any{"cores": 1, "memory_mb": 32, "sockets": 1024}
+	return start(t, c)
+}
+
+// silentServer returns a server that reads requests and never responds.
+func silentServer(t *testing.T) endpointlist.Target {
+	t.Helper()
+	return sidecartest.RawBackend(t, "a", func(_ net.Conn, in *bufio.Reader) { _, _ = io.Copy(io.Discard, in) })
+}
+
+// writeAll opens connections until the end of the test and writes a text on each.
+func (r *running) writeAll(t *testing.T, peers int, text string) (conns []net.Conn) {
+	t.Helper()
+	for range peers {
+		c := r.dial(t)
+		t.Cleanup(func() { c.Close() })
+		_, _ = io.WriteString(c, text) // fails if the sidecar has closed the connection
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// liveHeap returns the size of the live objects and stacks of the process, in bytes.
+func liveHeap() int64 {
+	runtime.GC()
+	runtime.GC() // pools keep their objects for one more collection
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// Guards against long heads that take a sidecar over its memory limit, so that it is killed: of peers that stop within
+// the head, and of requests that wait for their server.
+func TestHeadMemory_staysUnderLimit(t *testing.T) {
+	for name, text := range sidecartest.LongHeads(longHead) {
+		for state, end := range map[string]string{"incomplete": "", "in flight": "Content-Length: 1\r\n\r\nb"} {
+			t.Run(name+"/"+state, func(t *testing.T) {
+				s := startWithMemory(t, silentServer(t))
+				before, highest := liveHeap(), int64(0)
+				s.writeAll(t, headPeers, text+end)
+				for end := time.Now().Add(300 * time.Millisecond); time.Now().Before(end); {
+					highest = max(highest, liveHeap()-before)
+				}
+				if limit := s.cfg.MemoryLimit(1); highest > limit {
+					t.Errorf("%d MB in use, the limit of the runtime is %d MB", highest>>20, limit>>20)
+				}
+			})
+		}
+	}
+}
+
+// Guards against sound clients that are rejected because peers that stop within long heads hold the memory for heads.
+func TestHeadMemory_soundClientsServed(t *testing.T) {
+	s := startWithMemory(t, sidecartest.NewBackend(t, "a", sidecartest.OK).Target)
+	s.writeAll(t, 200, sidecartest.LongHeads(longHead)["lines of 45"])
+	sidecartest.Until(t, "silence of the peers", func() (silent bool) {
+		silent = s.clients.OpenConns() > 0
+		s.listener.Each(func(c *clientserver.ClientConn) {
+			silent = silent && time.Since(c.LastRead()) > 100*time.Millisecond
+		})
+		return silent
+	})
+	for _, cookie := range []int{0, 4 << 10, 16 << 10} {
+		req := s.request("charge", time.Second)
+		req.Header.Set("Cookie", strings.Repeat("c", cookie))
+		if got := s.do(req); got.status != 200 {
+			t.Errorf("a request with a cookie of %d bytes: %d %q, want 200", cookie, got.status, got.body)
+		}
+	}
+}
+
+// Guards against peers whose connection ends without a response when the memory for heads is used up: the response
+// states that nothing has run, so that a client can send its request again.
+func TestHeadMemory_rejectedWith503(t *testing.T) {
+	s := startWithMemory(t, silentServer(t))
+	rejected := 0
+	for _, c := range s.writeAll(t, 200, sidecartest.LongHeads(longHead)["lines of 45"]) {
+		line, err := bufio.NewReader(c).ReadString('\n')
+		if strings.HasPrefix(line, "HTTP/1.1 503 ") {
+			rejected++
+		} else if err != io.EOF { // the end of the time for a head
+			t.Errorf("read %q, %v", line, err)
+		}
+	}
+	if rejected < 100 {
+		t.Errorf("%d of 200 peers were rejected, want more than half: each takes over 0.1 of 3.2 MB", rejected)
+	}
+}
