Let go of the record of a long head with its response

Clients that send a long head once and then keep their connections take its memory for as long as they stay.

Cause: HeadConn.PrepareNextRequest emptied the record but kept its memory, which the limit on heads does not count any more then.

Why this fix works: a record larger than one read is dropped; smaller ones are kept, so ordinary heads allocate as before.

--- a/internal/sidecar/framing/head_memory.go
+++ b/internal/sidecar/framing/head_memory.go
@@ -15,6 +15,9 @@
 	// freeHeadMemory is the memory for a head that each connection has beside the budget, in bytes. It is enough for
 	// ordinary heads, so that these do not depend on the heads of other connections.
 	freeHeadMemory = 12 << 10
+	// maxKeptRecord is the size of the largest record whose memory is kept for the next head on a connection, in bytes. It
+	// is what net/http reads at once.
+	maxKeptRecord = 4 << 10
 )
 
 // ErrNoHeadMemory reports that the memory for the heads of messages is used up.
@@ -75,5 +78,8 @@
 // discardHead discards the recorded head and releases its memory. The caller holds the lock.
 func (c *HeadConn) discardHead() {
 	c.head, c.lines, c.complete = c.head[:0], 0, false
+	if cap(c.head) > maxKeptRecord {
+		c.head = nil
+	}
 	c.memory.Release()
 }
--- a/internal/sidecar/framing/head_memory_test.go
+++ b/internal/sidecar/framing/head_memory_test.go
@@ -72,6 +72,29 @@
 	return int64(m.HeapAlloc)
 }
 
+// Guards against idle connections that hold the memory of a long head after its response, when nothing is reserved for
+// it any more.
+func TestHeadMemory_freedAfterResponse(t *testing.T) {
+	const conns = 50
+	budget := memory.NewBudget(1 << 40)
+	text := sidecartest.LongHeads(30000)["lines of 45"] + "\r\n"
+	var idle []*HeadConn
+	before := heapAlloc()
+	for range conns {
+		conn := &HeadConn{Conn: textConn{Reader: strings.NewReader(text)}, memory: budget.NewReservation()}
+		copyRequest(t, conn)
+		conn.PrepareNextRequest()
+		idle = append(idle, conn)
+	}
+	if used, _ := budget.Usage(); used != 0 {
+		t.Errorf("%d bytes are still reserved, want none", used)
+	}
+	if held := (heapAlloc() - before) / conns; held > freeHeadMemory {
+		t.Errorf("each idle connection holds %d bytes, want at most %d", held, freeHeadMemory)
+	}
+	runtime.KeepAlive(idle)
+}
+
 // Guards against a body that is counted as part of the head before it.
 func TestHeadMemory_countsHeadOnly(t *testing.T) {
 	budget := memory.NewBudget(0)
