End the connection of a rejected head at once

What callers saw: nothing more than the 503. A rejected connection stayed open for up to 2.5 s though, and kept what was parsed.

Cause: the error of the read was returned once. bufio drops an error that follows the start of a line, so net/http read on, from an input that is discarded. This is a fault of the limit on heads itself.

Why this fix works: RetryingReader already keeps an error for all later reads for this reason; the rejection uses it.

--- a/internal/sidecar/framing/head_memory.go
+++ b/internal/sidecar/framing/head_memory.go
@@ -66,13 +66,27 @@
 	return true
 }
 
-// rejectHead rejects the request whose head is being received, and returns the error of the read. net/http sends no
-// response after a network error of a read.
+// rejectHead rejects the request whose head is being received, and returns the error of this read and of all later
+// ones. net/http sends no response after a network error of a read.
 func (c *HeadConn) rejectHead() error {
 	if tracked, ok := c.Conn.(TrackedConn); ok {
 		tracked.RejectHead()
 	}
-	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: ErrNoHeadMemory}
+	err := &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: ErrNoHeadMemory}
+	c.reader.Fail(err)
+	return err
+}
+
+// StartNextHead discards the recorded head and records the next one, the start of which has been read already. It is
+// called after the head of an interim response. It fails if there is no memory for what has been read.
+func (c *HeadConn) StartNextHead(received []byte) error {
+	c.mu.Lock()
+	c.discardHead()
+	c.mu.Unlock()
+	if !c.recordHead(received) {
+		return ErrNoHeadMemory
+	}
+	return nil
 }
 
 // discardHead discards the recorded head and releases its memory. The caller holds the lock.
--- a/internal/sidecar/head_memory_test.go
+++ b/internal/sidecar/head_memory_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +57,21 @@
 	return int64(m.HeapAlloc + m.StackInuse)
 }
 
+// checkMemory writes a text on each of many connections, and checks that the memory in use stays under the limit of the
+// runtime: above it no garbage collection helps.
+func (r *running) checkMemory(t *testing.T, peers int, text string) {
+	t.Helper()
+	before, highest := liveHeap(), int64(0)
+	r.writeAll(t, peers, text)
+	for end := time.Now().Add(300 * time.Millisecond); time.Now().Before(end); {
+		highest = max(highest, liveHeap()-before)
+	}
+	t.Logf("%d kB in use at most", highest>>10)
+	if limit := r.cfg.MemoryLimit(1); highest > limit {
+		t.Errorf("%d MB in use, the limit of the runtime is %d MB", highest>>20, limit>>20)
+	}
+}
+
 // Guards against long heads that take a sidecar over its memory limit, so that it is killed: of peers that stop within
 // the head, and of requests that wait for their server.
 func TestHeadMemory_staysUnderLimit(t *testing.T) {
@@ -62,14 +79,7 @@
 		for state, end := range map[string]string{"incomplete": "", "in flight": "Content-Length: 1\r\n\r\nb"} {
 			t.Run(name+"/"+state, func(t *testing.T) {
 				s := startWithMemory(t, silentServer(t))
-				before, highest := liveHeap(), int64(0)
-				s.writeAll(t, headPeers, text+end)
-				for end := time.Now().Add(300 * time.Millisecond); time.Now().Before(end); {
-					highest = max(highest, liveHeap()-before)
-				}
-				if limit := s.cfg.MemoryLimit(1); highest > limit {
-					t.Errorf("%d MB in use, the limit of the runtime is %d MB", highest>>20, limit>>20)
-				}
+				s.checkMemory(t, headPeers, text+end)
 			})
 		}
 	}
@@ -95,20 +105,28 @@
 	}
 }
 
-// Guards against peers whose connection ends without a response when the memory for heads is used up: the response
-// states that nothing has run, so that a client can send its request again.
+// Guards against peers whose connection ends without a response when the memory for heads is used up, or stays open and
+// keeps what was parsed: the response states that nothing has run, and the end follows at once.
 func TestHeadMemory_rejectedWith503(t *testing.T) {
 	s := startWithMemory(t, silentServer(t))
-	rejected := 0
+	startedAt, lag := time.Now(), sidecartest.MachineLag(t)
+	var peers sync.WaitGroup
+	var rejected atomic.Int64
 	for _, c := range s.writeAll(t, 200, sidecartest.LongHeads(longHead)["lines of 45"]) {
-		line, err := bufio.NewReader(c).ReadString('\n')
-		if strings.HasPrefix(line, "HTTP/1.1 503 ") {
-			rejected++
-		} else if err != io.EOF { // the end of the time for a head
-			t.Errorf("read %q, %v", line, err)
-		}
+		peers.Go(func() {
+			text, _ := io.ReadAll(c)
+			took := time.Since(startedAt)
+			if !strings.HasPrefix(string(text), "HTTP/1.1 503 ") {
+				return // the end of the time for a head
+			}
+			rejected.Add(1)
+			if took > clientserver.DefaultReadTimeout/2+lag() {
+				t.Errorf("a rejected connection ended after %v", took)
+			}
+		})
 	}
-	if rejected < 100 {
-		t.Errorf("%d of 200 peers were rejected, want more than half: each takes over 0.1 of 3.2 MB", rejected)
+	peers.Wait()
+	if n := rejected.Load(); n < 100 {
+		t.Errorf("%d of 200 peers were rejected, want more than half: each takes over 0.1 of 3.2 MB", n)
 	}
 }
--- a/internal/sidecar/netcall/retry.go
+++ b/internal/sidecar/netcall/retry.go
@@ -79,6 +79,9 @@
 	permanentErr error // returned by all later reads; nil after transient errors and after the deadline of the connection
 }
 
+// Fail makes all later reads return an error.
+func (r *RetryingReader) Fail(err error) { r.permanentErr = err }
+
 // Read reads from the connection and returns its errors except for transient ones.
 func (r *RetryingReader) Read(conn io.Reader, p []byte) (int, error) {
 	if r.permanentErr != nil {
