Limit the memory of the heads of servers' answers

Servers that stop within a long head of their answer, or send one without an end, would get the sidecar killed.

Cause: an answer's head was bounded by size alone (160 kB), whatever it takes once it is parsed, and as many are read at once as requests are in flight.

Why this fix works: a head reserves what it will take before it is parsed, in a budget of its own; nothing is read before its end that is not counted, also behind an interim head. Without room the answer is a broken one. A head may have 64 kB now, where up to 160 kB passed before; the documented bound is 32 KiB.

--- a/internal/sidecar/framing/framing.go
+++ b/internal/sidecar/framing/framing.go
@@ -49,8 +49,11 @@
 	received chan struct{}
 }
 
-// NewHeadConn returns a HeadConn for a connection to a server. It records the heads of responses.
-func NewHeadConn(c net.Conn) *HeadConn { return &HeadConn{Conn: c} }
+// NewHeadConn returns a HeadConn for a connection to a server. It records the heads of responses, for which it reserves
+// memory.
+func NewHeadConn(c net.Conn, reservation *memory.Reservation) *HeadConn {
+	return &HeadConn{Conn: c, memory: reservation}
+}
 
 // NewClientHeadConn returns a HeadConn for the connection of a client. It records the heads of requests and signals
 // through Received when bytes were read. acceptedLate is true if the first request may have arrived long before the
--- a/internal/sidecar/head_memory_test.go
+++ b/internal/sidecar/head_memory_test.go
@@ -85,6 +85,27 @@
 	}
 }
 
+// Guards against servers that stop within long heads of their answers, or send such heads without an end, and so take a
+// sidecar over its memory limit.
+func TestHeadMemory_answersStayUnderLimit(t *testing.T) {
+	for name, requestHead := range sidecartest.LongHeads(longHead) {
+		_, lines, _ := strings.Cut(requestHead, "\n")
+		for state, answer := range map[string]string{
+			"incomplete": "HTTP/1.1 200 OK\r\n" + lines, "endless": "HTTP/1.1 200 OK\r\n" + strings.Repeat(lines, 5),
+			"after an interim head": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + lines,
+		} {
+			t.Run(name+"/"+state, func(t *testing.T) {
+				s := startWithMemory(t, sidecartest.RawBackend(t, "a", func(c net.Conn, in *bufio.Reader) {
+					_, _ = in.ReadByte()
+					_, _ = io.WriteString(c, answer)
+					_, _ = io.Copy(io.Discard, in)
+				}))
+				s.checkMemory(t, s.clients.RequestLimit(), sidecartest.RequestText("1", "Content-Length: 1\r\n", "b"))
+			})
+		}
+	}
+}
+
 // Guards against sound clients that are rejected because peers that stop within long heads hold the memory for heads.
 func TestHeadMemory_soundClientsServed(t *testing.T) {
 	s := startWithMemory(t, sidecartest.NewBackend(t, "a", sidecartest.OK).Target)
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -63,6 +63,7 @@
 	s.clients.SetKeepAliveLimit(int(float64(clients) * keepAliveFraction))
 	s.clients.SetRequestLimit(max(s.budget.requests/processes, 1))
 	s.loop.Pool.SetLimit(s.budget.servers / processes)
+	s.loop.Pool.SetHeadMemory(s.cfg.ResponseHeadMemory() / int64(processes))
 	s.listener.SetHeadMemory(s.cfg.HeadMemory() / int64(processes))
 	s.clients.SetBodyMemory(s.cfg.BodyMemory() / int64(processes))
 	s.loop.Post(balance.ProcessCount{Processes: processes})
--- a/internal/sidecar/upstream/dial.go
+++ b/internal/sidecar/upstream/dial.go
@@ -110,7 +110,7 @@
 		p.failDial(server, err)
 		return
 	}
-	conn := newServerConn(raw, server)
+	conn := newServerConn(raw, server, p.heads.NewReservation())
 	if p.deliver(conn) {
 		return
 	}
--- a/internal/sidecar/upstream/exchange.go
+++ b/internal/sidecar/upstream/exchange.go
@@ -133,7 +133,7 @@
 		return inflight.AttemptOutcome{Result: unsentResult(ctx, x.sendDeadline, err)}, false
 	}
 	conn.head.PrepareNextRequest()
-	conn.readLimit.N = maxBufferedResponse
+	conn.readLimit.N = maxResponseHead
 	writer := &requestWriter{conn: conn, reused: reused, writeDeadline: x.writeDeadline, hook: x.pool.hook}
 	detach := context.AfterFunc(ctx, writer.stop)
 	if x.attempt.upload() == nil {
--- a/internal/sidecar/upstream/pool.go
+++ b/internal/sidecar/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 	"marblelane/internal/sidecar/checkpoint"
 	"marblelane/internal/sidecar/clock"
 	"marblelane/internal/sidecar/config"
+	"marblelane/internal/sidecar/memory"
 	"marblelane/internal/sidecar/metrics"
 	"marblelane/internal/sidecar/netcall"
 )
@@ -34,6 +36,8 @@
 	healthCheckPath string
 	retryWindows    []time.Duration // by class, see retryWindow
 	idleAges        idleAges
+	heads           *memory.Budget // for the heads of responses
+	headShortageLog headShortageLog
 	metrics         *metrics.Metrics
 	hook            checkpoint.Hook
 
@@ -61,6 +65,7 @@
 		maxIdle:     time.Duration(float64(cfg.ConnIdleTimeout) * idleFraction),
 		reportNames: cfg.ReportFields, healthCheckPath: "/health/live",
 		idleServers: map[*Server]struct{}{}, limit: limit, post: func(any) {}, metrics: metrics.New(cfg.ClassNames),
+		heads: memory.NewBudget(math.MaxInt64),
 	}
 	for i := range cfg.Balance.Classes {
 		p.retryWindows = append(p.retryWindows, retryWindow(&cfg.Balance.Classes[i]))
--- a/internal/sidecar/upstream/response.go
+++ b/internal/sidecar/upstream/response.go
@@ -11,9 +11,13 @@
 	"marblelane/internal/sidecar/inflight"
 )
 
-// maxBufferedResponse limits the bytes that are buffered of a response, including its head: an endless head must not
-// fill the memory.
-const maxBufferedResponse = framing.MaxHeader + 2*inflight.MaxHeldBody
+const (
+	// maxResponseHead limits the bytes that are read until the end of a response's head, in bytes: all of them are counted
+	// in the memory for heads, and an endless head is an error.
+	maxResponseHead = 2 * framing.MaxHeader
+	// maxBufferedBody limits the bytes that are buffered of a response's body, including its framing.
+	maxBufferedBody = 2 * inflight.MaxHeldBody
+)
 
 const (
 	notProcessedHeader = "X-Not-Processed" // response header; 1: the server has not started to process the request
@@ -35,8 +39,13 @@
 // request may have run. It also reports whether the connection can be reused.
 func (x *exchange) readResponse(ctx context.Context, conn *serverConn, idle time.Duration) (
 	outcome inflight.AttemptOutcome, reusable bool) {
+	defer conn.head.PrepareNextRequest()
 	resp, interim, err := readHead(conn, x.request)
-	nothingRead := conn.readLimit.N == maxBufferedResponse
+	nothingRead := conn.readLimit.N == maxResponseHead
+	conn.readLimit.N += maxBufferedBody
+	if errors.Is(err, framing.ErrNoHeadMemory) {
+		x.pool.recordHeadShortage(conn.server)
+	}
 	if err == nil {
 		err = checkResponse(conn, resp, interim)
 	}
@@ -64,7 +73,10 @@
 	resp, err = http.ReadResponse(conn.reader, req)
 	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 		interim = true
-		resp, err = http.ReadResponse(conn.reader, req)
+		buffered, _ := conn.reader.Peek(conn.reader.Buffered()) // cannot fail: the bytes are there
+		if err = conn.head.StartNextHead(buffered); err == nil {
+			resp, err = http.ReadResponse(conn.reader, req)
+		}
 	}
 	return resp, interim, err
 }
@@ -79,7 +91,7 @@
 		return nil
 	}
 	if interim {
-		resp.Close = true // conn.head holds the interim head, so the final one cannot be checked
+		resp.Close = true // the final head may follow the interim one in any form
 		return nil
 	}
 	if _, length, err := conn.head.LengthHeaders(); err != nil || length {
--- a/internal/sidecar/upstream/server.go
+++ b/internal/sidecar/upstream/server.go
@@ -9,6 +9,7 @@
 
 	"marblelane/balance"
 	"marblelane/internal/sidecar/framing"
+	"marblelane/internal/sidecar/memory"
 	"marblelane/internal/sidecar/netcall"
 )
 
@@ -29,22 +30,30 @@
 // serverConn is a connection to a server. It carries one request at a time.
 type serverConn struct {
 	net.Conn
-	reader    *bufio.Reader     // reads from readLimit
-	readLimit *io.LimitedReader // reads from head; limits the size of a response, including its head
-	head      *framing.HeadConn // reads from Conn; keeps the head of the response
+	reader    *bufio.Reader       // reads from readLimit
+	readLimit *io.LimitedReader   // reads from head; limits the size of a response, including its head
+	head      *framing.HeadConn   // reads from Conn; keeps the head of the response
+	heads     *memory.Reservation // the memory for head
 	server    *Server
 	idleSince time.Time
 }
 
-// newServerConn wraps a connection that has carried no request.
-func newServerConn(conn net.Conn, server *Server) *serverConn {
-	head := framing.NewHeadConn(conn)
+// newServerConn wraps a connection that has carried no request. heads is the memory for the heads of its responses.
+func newServerConn(conn net.Conn, server *Server, heads *memory.Reservation) *serverConn {
+	head := framing.NewHeadConn(conn, heads)
 	limited := &io.LimitedReader{R: head}
 	return &serverConn{
-		Conn: conn, reader: bufio.NewReader(limited), readLimit: limited, head: head, server: server, idleSince: time.Now(),
+		Conn: conn, reader: bufio.NewReader(limited), readLimit: limited, head: head, heads: heads, server: server,
+		idleSince: time.Now(),
 	}
 }
 
+// Close closes the connection and returns the memory for the head of its response.
+func (c *serverConn) Close() error {
+	c.heads.Close()
+	return c.Conn.Close()
+}
+
 // reusable reports whether an idle connection is open and has no unread bytes. Its server may have closed it in the
 // meantime: a request written to it would then fail with a reset, and count as one that may have run.
 func (c *serverConn) reusable() bool {
