Count the start of a head that was read with the request before it

Peers that send the start of a head of short lines behind a request, in one packet, would get the sidecar killed.

Cause: HeadConn records what is read from the connection, and this start was read with the request before it.

Why this fix works: net/http sets a deadline when it starts to parse a head; if nothing was read for it by then, what may be left of the last read is reserved, or the request is rejected.

--- a/internal/sidecar/clientserver/server.go
+++ b/internal/sidecar/clientserver/server.go
@@ -137,6 +137,10 @@
 		closeAfterResponse(w, r)
 	}
 	s.limitWrite(w)
+	if conn := headConn(r); conn != nil && conn.HeadRejected() {
+		writeError(w, framing.ErrNoHeadMemory, inflight.StatusRejected)
+		return
+	}
 	if err := checkFraming(r); err != nil {
 		writeError(w, err, http.StatusBadRequest)
 		return
--- a/internal/sidecar/framing/framing.go
+++ b/internal/sidecar/framing/framing.go
@@ -37,9 +37,12 @@
 
 	mu           sync.Mutex // guards the fields below: net/http also reads while a handler runs
 	head         []byte     // the head as received, and the bytes that were read together with its end
-	lines        int        // number of lines of the head that were received
+	size         headSize   // of the part of head that belongs to the head
 	complete     bool       // head contains the empty line at its end, or is too long to be a head
 	active       bool       // a request has been read and has no response yet: further bytes are not part of its head
+	unparsed     headSize   // at most this much was read and not parsed yet: it may belong to the next head
+	early        headSize   // at most this much of the head was read before the response to the previous request
+	rejected     bool       // there was no memory for early
 	startedAt    time.Time  // when the first byte of the message came, or the connection was accepted; zero: not yet
 	reads        int        // number of calls of Read that are in progress
 	acceptedLate bool       // the first request may have arrived long before its connection was accepted
@@ -71,6 +74,9 @@
 
 // Read reads from the connection and records the bytes that belong to the head. It fails if there is no memory for them.
 func (c *HeadConn) Read(p []byte) (int, error) {
+	if c.lacksEarlyMemory(len(p)) {
+		return 0, c.rejectHead()
+	}
 	c.beginRead()
 	n, err := c.reader.Read(c.Conn, p)
 	c.endRead(n)
--- a/internal/sidecar/head_memory_test.go
+++ b/internal/sidecar/head_memory_test.go
@@ -66,7 +66,6 @@
 	for end := time.Now().Add(300 * time.Millisecond); time.Now().Before(end); {
 		highest = max(highest, liveHeap()-before)
 	}
-	t.Logf("%d kB in use at most", highest>>10)
 	if limit := r.cfg.MemoryLimit(1); highest > limit {
 		t.Errorf("%d MB in use, the limit of the runtime is %d MB", highest>>20, limit>>20)
 	}
@@ -75,6 +74,11 @@
 // Guards against long heads that take a sidecar over its memory limit, so that it is killed: of peers that stop within
 // the head, and of requests that wait for their server.
 func TestHeadMemory_staysUnderLimit(t *testing.T) {
+	for name, text := range sidecartest.LongHeads(3900) { // with the request before it in one read of 4 kB
+		t.Run(name+"/behind another request", func(t *testing.T) {
+			startWithMemory(t, silentServer(t)).checkMemory(t, 380, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"+text)
+		})
+	}
 	for name, text := range sidecartest.LongHeads(longHead) {
 		for state, end := range map[string]string{"incomplete": "", "in flight": "Content-Length: 1\r\n\r\nb"} {
 			t.Run(name+"/"+state, func(t *testing.T) {
@@ -106,6 +110,28 @@
 	}
 }
 
+// Guards against a request behind another one that takes memory which is not there, or that gets two responses.
+func TestHeadMemory_rejectedOnceBehindAnother(t *testing.T) {
+	server := sidecartest.NewBackend(t, "a", sidecartest.OK)
+	s := startWithMemory(t, server.Target)
+	s.listener.SetHeadMemory(0)
+	request := func(lines int) string {
+		return sidecartest.RequestText("1", "Content-Length: 1\r\n"+strings.Repeat("a:\r\n", lines), "b")
+	}
+	c := s.dial(t)
+	defer c.Close()
+	if _, err := io.WriteString(c, request(0)+request(100)+request(0)); err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(c)
+	if n := strings.Count(string(text), "HTTP/1.1 "); n != 2 || err != nil {
+		t.Errorf("%d responses, %v, want 2: %q", n, err, text)
+	}
+	if !strings.HasPrefix(string(text), "HTTP/1.1 200 ") || !strings.Contains(string(text), "HTTP/1.1 503 ") || server.Requests.Load() != 1 {
+		t.Errorf("%d requests ran, want the first one alone: %q", server.Requests.Load(), text)
+	}
+}
+
 // Guards against sound clients that are rejected because peers that stop within long heads hold the memory for heads.
 func TestHeadMemory_soundClientsServed(t *testing.T) {
 	s := startWithMemory(t, sidecartest.NewBackend(t, "a", sidecartest.OK).Target)
