--- a/internal/sidecar/clientserver/head_memory.go
+++ b/internal/sidecar/clientserver/head_memory.go
@@ -41,7 +41,7 @@
 	defer l.mu.Unlock()
 	spared := map[*ClientConn]bool{} // not evicted: bytes from their clients have not been parsed yet
 	for {
-		victim := l.longestIncompleteHead(spared)
+		victim := l.oldestIncompleteHead(spared)
 		if victim == nil || victim.closeInput() {
 			return victim
 		}
@@ -49,20 +49,20 @@
 	}
 }
 
-// longestIncompleteHead returns the connection that has been silent longest among those that hold memory for an
+// oldestIncompleteHead returns the connection that has been silent longest among those that hold memory for an
 // incomplete head and are not spared, or nil if none has been silent for evictAfterSilence. The caller holds the lock.
-func (l *Limiter) longestIncompleteHead(spared map[*ClientConn]bool) *ClientConn {
+func (l *Limiter) oldestIncompleteHead(spared map[*ClientConn]bool) *ClientConn {
 	silentBefore := time.Now().Add(-evictAfterSilence)
-	var longest *ClientConn
+	var oldest *ClientConn
 	for conn := range l.conns {
 		if conn.busy || spared[conn] || conn.headMemory.Bytes() == 0 {
 			continue
 		}
 		if silentSince, started := conn.requestStarted(); started && silentSince.Before(silentBefore) {
-			longest, silentBefore = conn, silentSince
+			oldest, silentBefore = conn, silentSince
 		}
 	}
-	return longest
+	return oldest
 }
 
 // logHeadShortage counts a request and logs the counts, unless it has done so recently.
--- a/internal/sidecar/framing/head_memory.go
+++ b/internal/sidecar/framing/head_memory.go
@@ -16,8 +16,8 @@
 	// freeHeadMemory is the memory for a head that each connection has beside the budget, in bytes. It is enough for
 	// ordinary heads, so that these do not depend on the heads of other connections.
 	freeHeadMemory = 12 << 10
-	// maxKeptRecord is the size of the largest record whose memory is kept for the next head on a connection, in bytes.
-	maxKeptRecord = bufferSize
+	// maxRetainedRecord is the size of the largest record whose memory is retained for the next head on a connection, in bytes.
+	maxRetainedRecord = bufferSize
 	// bufferSize is the size of the buffer that net/http reads into, in bytes.
 	bufferSize = 4 << 10
 	// backgroundRead is the size of the buffer into which net/http reads while a handler runs, in bytes.
@@ -166,7 +166,7 @@
 // discardHead discards the recorded head and releases its memory. The caller holds the lock.
 func (c *HeadConn) discardHead() {
 	c.head, c.size, c.early, c.complete = c.head[:0], headSize{}, headSize{}, false
-	if cap(c.head) > maxKeptRecord {
+	if cap(c.head) > maxRetainedRecord {
 		c.head = nil
 	}
 	c.memory.Release()
--- a/internal/sidecar/framing/head_memory_test.go
+++ b/internal/sidecar/framing/head_memory_test.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// copyRequest reads a request and returns all that is kept of its head while an attempt is sent.
-func copyRequest(t *testing.T, conn net.Conn) (kept []any) {
+// copyRequest reads a request and returns all that is retained of its head while an attempt is sent.
+func copyRequest(t *testing.T, conn net.Conn) (retained []any) {
 	req, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/upstream/pool.go
+++ b/internal/sidecar/upstream/pool.go
@@ -122,9 +122,9 @@
 	p.addIdle(conn)
 }
 
-// addIdle adds a connection to the idle ones of its server, which are in the order of idleSince. It closes the connection instead if the server was
-// retired, the pool was closed or the limit was lowered in the meantime: Retire, Close and SetLimit only close
-// connections that are idle at the time. The caller holds the lock.
+// addIdle adds a connection to the idle ones of its server, which are in the order of idleSince. It closes the connection
+// instead if the server was retired, the pool was closed or the limit was lowered in the meantime: Retire, Close and
+// SetLimit only close connections that are idle at the time. The caller holds the lock.
 func (p *Pool) addIdle(conn *serverConn) {
 	unusable := conn.server.Retired.Load() || p.dialsContext.Err() != nil
 	if unusable || p.open > p.limit {
