Say that the errors of closing connections to servers are ignored

errcheck knows net.Conn's Close as one whose error may be ignored; serverConn has a Close of its own since. The program is the same: builds of before and after without the revision's stamp are equal byte for byte.

--- a/internal/sidecar/upstream/pool.go
+++ b/internal/sidecar/upstream/pool.go
@@ -128,7 +128,7 @@
 func (p *Pool) addIdle(conn *serverConn) {
 	unusable := conn.server.Retired.Load() || p.dialsContext.Err() != nil
 	if unusable || p.open > p.limit {
-		conn.Close()
+		_ = conn.Close()
 		p.open--
 		return
 	}
@@ -163,7 +163,7 @@
 
 // discard closes a connection that is not among the idle ones.
 func (p *Pool) discard(conn *serverConn) {
-	conn.Close()
+	_ = conn.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
@@ -209,7 +209,7 @@
 // closeOldest closes the n connections of a server that have been idle for longest. The caller holds the lock.
 func (p *Pool) closeOldest(server *Server, n int) {
 	for _, conn := range server.idle[:n] {
-		conn.Close()
+		_ = conn.Close()
 	}
 	p.open -= n
 	server.idle = slices.Delete(server.idle, 0, n)
