Show that answers are late where a server reads a long request slowly

What callers saw: a request of 120 to 950 kB, chunked, that was written completely got its final answer up to seconds after its time, or none while it was watched, where its server read slowly or stopped reading within the body.

Hypotheses, and what tells them apart: 1 the time of the request starts when the sidecar reads the last byte, and it reads no faster than the server does. Then the answer comes a whole wait after the last byte was read, and at a stopped server only when the write gives up (5 s). 2 the event loop or its timers are late. Then requests with a length of the same size are late as well. 3 an attempt cannot be ended while it writes. Then the answer comes with the end of the write, also where the time had started. 4 the answer is decided in time and held back at the client's connection. Then a client that sees it late has data unread.

The test plays real processes on loopback: 4 requests each, 200 kB to 2 MiB, at a server with a receive buffer of 4 kB.

--- /dev/null
+++ b/internal/sidecar/sidecartest/slow_server.go
@@ -0,0 +1,147 @@
+package sidecartest
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"marblelane/internal/sidecar/endpointlist"
+)
+
+// ReadPace is how a SlowServer reads the bodies of requests.
+type ReadPace struct {
+	BytesPerSecond int // 0: as fast as they arrive
+	StopAfter      int // bytes of a body after which nothing more is read; 0: all are read
+}
+
+// paceInterval is the time between two reads or writes of a peer that is slow.
+const paceInterval = 20 * time.Millisecond
+
+// SlowServer is a server that reads the bodies of requests at a limited pace. It responds to a request that it has read
+// completely, and counts it as run.
+type SlowServer struct {
+	Target endpointlist.Target
+
+	receiveBuffer int // size in bytes of the receive buffer of its connections; 0: the system's default
+	work          time.Duration
+
+	mu     sync.Mutex // guards the fields below
+	pace   ReadPace
+	runs   map[string]int // number of runs of each request, by ID
+	closed chan struct{}
+}
+
+// NewSlowServer starts a server whose connections have a receive buffer of some bytes; 0 means the system's default. A
+// request takes the time work to run.
+func NewSlowServer(t *testing.T, uid string, pace ReadPace, receiveBuffer int, work time.Duration) *SlowServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", Loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &SlowServer{
+		Target: Ready(uid, listener.Addr().String()), receiveBuffer: receiveBuffer, work: work, pace: pace,
+		runs: map[string]int{}, closed: make(chan struct{}),
+	}
+	var handlers sync.WaitGroup
+	handlers.Go(func() { s.accept(listener, &handlers) })
+	t.Cleanup(func() {
+		close(s.closed)
+		listener.Close()
+		handlers.Wait()
+	})
+	return s
+}
+
+// SetPace changes how bodies are read, from the next read on.
+func (s *SlowServer) SetPace(pace ReadPace) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pace = pace
+}
+
+// Runs returns how often a request has run.
+func (s *SlowServer) Runs(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+func (s *SlowServer) accept(listener net.Listener, handlers *sync.WaitGroup) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if s.receiveBuffer > 0 {
+			conn.(*net.TCPConn).SetReadBuffer(s.receiveBuffer)
+		}
+		handlers.Go(func() {
+			defer conn.Close()
+			go func() {
+				<-s.closed
+				conn.Close()
+			}()
+			s.serve(conn)
+		})
+	}
+}
+
+// serve responds to the requests of a connection.
+func (s *SlowServer) serve(conn net.Conn) {
+	in := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, &pacedReader{server: s, body: request.Body}); err != nil {
+			return
+		}
+		id := request.Header.Get("X-Request-ID")
+		s.mu.Lock()
+		s.runs[id]++
+		s.mu.Unlock()
+		time.Sleep(s.work)
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id); err != nil {
+			return
+		}
+	}
+}
+
+// errServerClosed ends the reads of a body that a server has stopped reading.
+var errServerClosed = errors.New("server closed")
+
+// pacedReader reads a body at the pace of its server.
+type pacedReader struct {
+	server *SlowServer
+	body   io.Reader
+	read   int // bytes
+}
+
+// Read implements io.Reader.
+func (r *pacedReader) Read(p []byte) (int, error) {
+	r.server.mu.Lock()
+	pace := r.server.pace
+	r.server.mu.Unlock()
+	if pace.StopAfter > 0 {
+		if r.read >= pace.StopAfter {
+			<-r.server.closed
+			return 0, errServerClosed
+		}
+		p = p[:min(len(p), pace.StopAfter-r.read)]
+	}
+	if pace.BytesPerSecond > 0 {
+		time.Sleep(paceInterval)
+		p = p[:min(len(p), max(pace.BytesPerSecond*int(paceInterval)/int(time.Second), 1))]
+	}
+	n, err := r.body.Read(p)
+	r.read += n
+	return n, err
+}
--- /dev/null
+++ b/internal/sidecar/sidecartest/upload.go
@@ -0,0 +1,145 @@
+package sidecartest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// FinalAnswerSlack is how long after its timeout a request may get its final answer: half a second, and the 50 ms by
+	// which every time limit is longer on sockets.
+	FinalAnswerSlack = 550 * time.Millisecond
+	// watchTime is how long after its due time an answer is waited for, so that the outcome shows whether it came at all.
+	watchTime = 12 * time.Second
+)
+
+// Upload is a request with a long body.
+type Upload struct {
+	ID, Class      string
+	Lines          string        // further header lines, each with CRLF
+	Timeout        time.Duration // what the client will wait, from its last byte on
+	Size           int           // bytes of the body
+	Chunked        bool          // false: with a Content-Length
+	Piece          int           // bytes of each write, and of each chunk; 0: all at once
+	BytesPerSecond int           // at which the body is written; 0: as fast as the connection takes it
+	SendBuffer     int           // size in bytes of the client's send buffer; 0: the system's default
+}
+
+// UploadOutcome is how an Upload ended, as its client saw it.
+type UploadOutcome struct {
+	Upload   Upload
+	Status   int           // of the answer; 0: there was none
+	Written  bool          // all of the request was written before the answer came
+	FirstAt  time.Time     // when the first byte was written
+	LastAt   time.Time     // when the last byte was written; if Written is not set, when the answer came
+	Took     time.Duration // from LastAt to the end of the answer, or to the end of the wait for it
+	Err      error         // why there is no answer
+	Rejected bool          // the connection was refused
+}
+
+// Late reports whether the request got no final answer within the time that it is owed one, give or take a lag.
+func (o UploadOutcome) Late(lag time.Duration) bool {
+	return !o.Rejected && (o.Status == 0 || o.Took > o.Upload.Timeout+FinalAnswerSlack+lag)
+}
+
+// String describes the outcome in one line.
+func (o UploadOutcome) String() string {
+	framing := "length"
+	if o.Upload.Chunked {
+		framing = "chunked"
+	}
+	return fmt.Sprintf("%s %s, %s %d bytes, %d a second, wait %v: last byte after %v (all written: %v), status %d %v later: %v",
+		o.Upload.Class, o.Upload.ID, framing, o.Upload.Size, o.Upload.BytesPerSecond, o.Upload.Timeout,
+		o.LastAt.Sub(o.FirstAt).Round(time.Millisecond), o.Written, o.Status, o.Took.Round(time.Millisecond), o.Err)
+}
+
+// Send sends the request on a new connection and waits for the answer.
+func (u Upload) Send(addr string) UploadOutcome {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return UploadOutcome{Upload: u, Rejected: true, Err: err}
+	}
+	defer conn.Close()
+	return u.SendOn(conn)
+}
+
+// SendOn sends the request on a connection and waits for the answer.
+func (u Upload) SendOn(conn net.Conn) UploadOutcome {
+	if u.SendBuffer > 0 {
+		conn.(*net.TCPConn).SetWriteBuffer(u.SendBuffer)
+	}
+	o := UploadOutcome{Upload: u, FirstAt: time.Now()}
+	var lastAt atomic.Pointer[time.Time]
+	go func() {
+		if u.write(conn) == nil {
+			now := time.Now()
+			lastAt.Store(&now)
+			conn.SetReadDeadline(now.Add(u.Timeout + watchTime))
+		}
+	}()
+	conn.SetReadDeadline(time.Now().Add(u.Timeout + u.writeTime() + 2*watchTime))
+	o.Status, o.Err = readAnswer(conn)
+	now := time.Now()
+	o.LastAt = now
+	if at := lastAt.Load(); at != nil {
+		o.Written, o.LastAt = true, *at
+	}
+	o.Took = now.Sub(o.LastAt)
+	return o
+}
+
+// readAnswer reads a complete answer and returns its status, or 0 if there is none.
+func readAnswer(conn net.Conn) (status int, err error) {
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0, err
+	}
+	return response.StatusCode, nil
+}
+
+// writeTime returns how long the client takes to write the body if nothing holds it back.
+func (u Upload) writeTime() time.Duration {
+	if u.BytesPerSecond == 0 {
+		return 0
+	}
+	return time.Duration(u.Size) * time.Second / time.Duration(u.BytesPerSecond)
+}
+
+// write writes the request at the client's pace.
+func (u Upload) write(conn net.Conn) error {
+	framing := fmt.Sprintf("Content-Length: %d", u.Size)
+	if u.Chunked {
+		framing = "Transfer-Encoding: chunked"
+	}
+	_, err := fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Timeout-Ms: %d\r\n%s%s\r\n\r\n",
+		u.ID, u.Class, u.Timeout.Milliseconds(), u.Lines, framing)
+	piece := u.Piece
+	if piece == 0 {
+		piece = u.Size
+	}
+	startedAt := time.Now()
+	for sent := 0; err == nil && sent < u.Size; {
+		part := strings.Repeat("b", min(piece, u.Size-sent))
+		sent += len(part)
+		if u.Chunked {
+			part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+			if sent == u.Size {
+				part += "0\r\n\r\n"
+			}
+		}
+		if u.BytesPerSecond > 0 {
+			time.Sleep(time.Until(startedAt.Add(time.Duration(sent) * time.Second / time.Duration(u.BytesPerSecond))))
+		}
+		_, err = io.WriteString(conn, part)
+	}
+	return err
+}
