Count a client's time from when it can have written its last byte, not from its read

What callers saw: a request over 64 KiB, chunked, or over 1 MiB with a length, whose server read it slowly or stopped, got its final answer seconds after its time, or when the write gave up after 5 s.

Cause: the sidecar reads a streamed body no faster than the server takes it. upload.go (Put) started the client's time when the last byte was read, and the balancer heard of it from the attempt that had written it (exchange.go, recordWritten). Until then the request had no deadline. So the sidecar's own back-pressure held the clock that it is measured by: a time taken behind a queue that the measuring side itself stops. The answer itself was read at once by the clients, which wait for it beside their writes.

Fix: each client connection keeps the earliest time at which the last byte can have been written. A read that has to wait shows that all before it was read; and what is far ahead of the unread bytes by more than the buffers hold (FIONREAD and 4 MB) was written later. The time starts there, at the end of the body; while the body is held back for a whole timeout, the request ends as if its end were waiting, which is when its answer is due at the latest. The time that the server is told follows as well. Not chosen: reading ahead of the server (the memory for bodies is bounded, and a bound brings the fault back behind it).

Added and kept: the figure svc_unread_bodies and a log line with id, class and bytes, at most one a second.

--- a/balance/api.go
+++ b/balance/api.go
@@ -92,10 +92,12 @@
 	RouteKey       uint64 // equal for all retries of one client, selects the subset of a route; 0: IdempotencyKey does
 }
 
-// BodyComplete reports that the last byte of a streamed request body was forwarded. The time of the request starts now.
+// BodyComplete reports that the client's time for a request with a streamed body runs. The body is complete, or it
+// may be: its end waits to be read, and the time is over if it does.
 type BodyComplete struct {
 	Request   RequestID
-	Remaining float64
+	Remaining float64 // time until the client's deadline
+	Elapsed   float64 // time since the last byte of the body can have been written
 }
 
 // Result is the result of an attempt or a health check.
--- a/balance/request.go
+++ b/balance/request.go
@@ -67,6 +67,7 @@
 // attempt is one attempt to send a request to a server.
 type attempt struct {
 	server          *server
+	decidedAt       milliseconds // when the attempt was decided
 	sentAt          milliseconds // start of the attempt; +Inf while the request body is still arriving
 	state           attemptState
 	neverRan        bool // the result proved that the server did not execute the request
--- a/balance/request_events.go
+++ b/balance/request_events.go
@@ -39,8 +39,8 @@
 	return nil
 }
 
-// onBodyComplete starts the time of a request and of its attempts, as the server has received the complete request only
-// now. The load of an attempt whose response has started is over.
+// onBodyComplete starts the time of a request and of its attempts. A server that takes long to read the body is as
+// slow as one that takes long to respond. The load of an attempt whose response has started is over.
 func (b *Balancer) onBodyComplete(ev BodyComplete) {
 	r := b.requests[ev.Request]
 	if r == nil || r.state == requestDone || !r.BodyStreaming {
@@ -48,12 +48,13 @@
 	}
 	r.BodyStreaming = false
 	r.resetDeadline(b.now, ev.Remaining)
+	r.arrivedAt -= ev.Elapsed
 	for i := range r.attempts {
 		a := &r.attempts[i]
 		if a.state == attemptEnded || a.state == attemptResponding {
 			continue
 		}
-		a.sentAt = b.now
+		a.sentAt = math.Max(r.arrivedAt, a.decidedAt)
 		b.admission.startLoad(r, a)
 	}
 	b.advance(r)
@@ -233,8 +234,8 @@
 	r.liveAttempts++
 	route := b.canary.takeNextAttempt()
 	a := attempt{
-		server: s, sentAt: b.now, endsAtObjective: b.retry.endsAtObjective(r), zoneTrial: s.zone.suspended,
-		lateIsFailure: route.lateIsFailure, budget: route.budget,
+		server: s, decidedAt: b.now, sentAt: b.now, endsAtObjective: b.retry.endsAtObjective(r),
+		zoneTrial: s.zone.suspended, lateIsFailure: route.lateIsFailure, budget: route.budget,
 	}
 	if a.zoneTrial {
 		s.zone.trialsInFlight++
--- a/cmd/sidecar/slow_server_test.go
+++ b/cmd/sidecar/slow_server_test.go
@@ -73,3 +73,52 @@
 		}
 	}
 }
+
+// A request is served if its server has read it and responded in time, however long the client took to write it, and
+// however long that is after the server began to read.
+func TestSlowServer_soundUploadsServed(t *testing.T) {
+	for name, row := range map[string]struct {
+		pace   sidecartest.ReadPace
+		upload sidecartest.Upload
+	}{
+		"slow client":         {sidecartest.ReadPace{}, sidecartest.Upload{Size: 200_000, Chunked: true, Piece: 1400, BytesPerSecond: 64_000}},
+		"slow client, length": {sidecartest.ReadPace{}, sidecartest.Upload{Size: 2 << 20, Piece: 9000, BytesPerSecond: 700_000}},
+		"slower server":       {sidecartest.ReadPace{BytesPerSecond: 1_000_000}, sidecartest.Upload{Size: 500_000, Chunked: true}},
+		"long":                {sidecartest.ReadPace{BytesPerSecond: 8_000_000}, sidecartest.Upload{Size: 12_000_000, Chunked: true}},
+		"long, length":        {sidecartest.ReadPace{BytesPerSecond: 8_000_000}, sidecartest.Upload{Size: 12_000_000}},
+		"pauses of the client": {sidecartest.ReadPace{}, sidecartest.Upload{
+			Size: 200_000, Chunked: true, Piece: 50_000, BytesPerSecond: 60_000}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := launchUploads(t, nil, sidecartest.NewSlowServer(t, "s", row.pace, 0, 10*time.Millisecond))
+			row.upload.ID, row.upload.Class, row.upload.Timeout = "1", "unsafe", 1200*time.Millisecond
+			if outcome := row.upload.Send(p.addr); outcome.Status != 200 {
+				t.Errorf("not served: %v", outcome)
+			}
+			p.cmd.terminate(t)
+		})
+	}
+}
+
+// A server that stops reading bodies is avoided after a few requests, also if no other requests show that it is stuck.
+func TestSlowServer_stoppedServerAvoided(t *testing.T) {
+	t.Parallel()
+	p := launchUploads(t, nil,
+		sidecartest.NewSlowServer(t, "stopped", sidecartest.ReadPace{StopAfter: 20_000}, 4<<10, 0),
+		sidecartest.NewSlowServer(t, "sound", sidecartest.ReadPace{}, 0, 0))
+	const uploads, maxFailed = 16, 4
+	failed := 0
+	for i := range uploads {
+		upload := sidecartest.Upload{
+			ID: fmt.Sprintf("%016x", i), Class: "unsafe", Timeout: 700 * time.Millisecond, Size: 300_000, Chunked: true}
+		if outcome := upload.Send(p.addr); outcome.Status != 200 {
+			failed++
+			t.Logf("not served: %v", outcome)
+		}
+	}
+	if failed > maxFailed {
+		t.Errorf("%d of %d requests failed, want at most %d", failed, uploads, maxFailed)
+	}
+	p.cmd.terminate(t)
+}
--- a/internal/sidecar/clientserver/client_conn.go
+++ b/internal/sidecar/clientserver/client_conn.go
@@ -31,6 +31,7 @@
 	limiter    *Limiter
 	headMemory *memory.Reservation // closed with the connection
 	lastRead   atomic.Int64        // when bytes were last read, in ns since epoch; 0: never; inputClosed: input is discarded
+	input      inputClock
 
 	// readLock is held while bytes are read from the system, and while the connection is selected for closing and
 	// half-closed. So bytes from the client are either read before the half-close and become part of a request, or are
@@ -55,6 +56,15 @@
 	return time.Time{}
 }
 
+// LastByteNotBefore returns the earliest time at which the client can have written the last byte of the request that is
+// being read, of which at least remaining bytes were not read yet. It returns the zero time if the client has not written
+// that byte yet.
+func (c *ClientConn) LastByteNotBefore(remaining int64) time.Time {
+	return c.input.lastByteNotBefore(time.Now(), remaining, c.unreadBytes)
+}
+
+func (c *ClientConn) unreadBytes() (int, error) { return netcall.UnreadBytes(c.Conn) }
+
 // Read reads from the connection. If the input is closed it discards all bytes until the client closes its side. If the
 // system is short of memory the bytes stay in the socket buffer and the read is repeated, until netcall.RetryCall gives
 // up.
@@ -84,6 +94,7 @@
 		}
 		return readErr
 	})
+	c.input.setWaiting(false)
 	switch {
 	case err != nil:
 		return 0, asReadError(err)
@@ -106,6 +117,9 @@
 		switch {
 		case err == syscall.EINTR:
 			continue
+		case err == syscall.EAGAIN:
+			c.input.setWaiting(true)
+			return 0, err
 		case err != nil:
 			return 0, err
 		case n == 0:
@@ -113,7 +127,9 @@
 		case c.lastRead.Load() == inputClosed:
 			continue
 		}
-		c.lastRead.Store(int64(time.Since(epoch)))
+		now := time.Now()
+		c.lastRead.Store(int64(now.Sub(epoch)))
+		c.input.record(now, n, c.unreadBytes)
 		c.inputBuffered = true
 		return n, nil
 	}
--- a/internal/sidecar/clientserver/doc.go
+++ b/internal/sidecar/clientserver/doc.go
@@ -11,6 +11,6 @@
 //
 // Locks: Limiter.mu guards the connections and the state of their requests. ClientConn.readLock guards the input of one
 // connection. openBodies.mu guards the bodies that are being read. readLock is the only one of them that may be taken while
-// another lock is held, which is then Limiter.mu or openBodies.mu. No lock is taken while readLock is held. A
+// another lock is held, which is then Limiter.mu or openBodies.mu. While readLock is held only inputClock.mu is taken. A
 // memory.Budget has a lock of its own, which may be taken while any of them but readLock is held.
 package clientserver
--- a/internal/sidecar/clientserver/framing.go
+++ b/internal/sidecar/clientserver/framing.go
@@ -52,6 +52,15 @@
 	return conn
 }
 
+// clientConn returns the client's connection of a request, or nil if it was not accepted by a Limiter.
+func clientConn(r *http.Request) *ClientConn {
+	if head := headConn(r); head != nil {
+		conn, _ := head.Conn.(*ClientConn)
+		return conn
+	}
+	return nil
+}
+
 // receivedAt returns when the last byte of a request that has just been read was received.
 func receivedAt(r *http.Request) time.Time {
 	if conn := headConn(r); conn != nil {
--- a/internal/sidecar/clientserver/pending_call.go
+++ b/internal/sidecar/clientserver/pending_call.go
@@ -77,6 +77,7 @@
 	state           callState
 	response        inflight.Response // set in the states after callPending
 	overdue         *time.Timer       // fires if the event loop has not decided on a response in time
+	bodyTime        *time.Timer       // fires when the client's time can be over before its body was received; nil: held body
 	watch           *clientWatch
 	countedInFlight bool // the request is counted in the metric of requests in flight
 
@@ -125,6 +126,9 @@
 		}
 	}
 	p.watch.stop()
+	if p.bodyTime != nil {
+		p.bodyTime.Stop()
+	}
 	if p.countedInFlight {
 		p.server.options.Metrics.InFlight.Add(-1)
 	}
@@ -140,6 +144,7 @@
 		return
 	}
 	_ = p.control.EnableFullDuplex()
+	p.bodyTime = time.NewTimer(p.call.Timeout)
 	ended := make(chan error, 1)
 	p.uploadDone = ended
 	go func() { ended <- upload.Feed(body) }()
@@ -147,11 +152,16 @@
 
 // bodyReceived starts the client's timeout at the given time, when the last byte of the request was received.
 func (p *pendingCall) bodyReceived(at time.Time) {
-	p.overdue.Reset(time.Until(at.Add(p.call.Timeout)) + clock.Duration(p.server.options.Config.Balance.AnswerSlack) + overdueSlack)
+	p.overdue.Reset(time.Until(at.Add(p.call.Timeout)) + p.overdueAfter())
 	p.countedInFlight = true
 	p.server.options.Metrics.InFlight.Add(1)
 }
 
+// overdueAfter returns how long after the client's deadline the response of the event loop is overdue.
+func (p *pendingCall) overdueAfter() time.Duration {
+	return clock.Duration(p.server.options.Config.Balance.AnswerSlack) + overdueSlack
+}
+
 // submit passes the request to the event loop.
 func (p *pendingCall) submit() {
 	p.state = callPending
@@ -165,6 +175,8 @@
 		p.setResponse(response)
 	case err := <-p.uploadDone:
 		p.handleUploadEnd(err)
+	case <-p.bodyTimeOver():
+		p.handleBodyTimeOver()
 	case <-p.request.Context().Done():
 		p.finish(callDisconnected, inflight.Response{})
 	case <-p.watch.received:
@@ -186,14 +198,47 @@
 // handleUploadEnd handles the end of a streamed body. err is nil if the whole body was received.
 func (p *pendingCall) handleUploadEnd(err error) {
 	p.uploadDone = nil
+	p.bodyTime.Stop()
 	if err == nil {
-		p.bodyReceived(p.call.Outbound.Upload.CompletedAt())
+		receivedAt := p.call.Outbound.Upload.CompletedAt()
+		p.bodyReceived(receivedAt)
+		p.server.options.Post(TimeStarted{p.call, receivedAt})
 		return
 	}
 	p.uploadErr = err
 	p.finish(callFailed, inflight.Response{})
 }
 
+// bodyTimeOver returns the channel of bodyTime. It is nil if the body is not streamed.
+func (p *pendingCall) bodyTimeOver() <-chan time.Time {
+	if p.bodyTime == nil {
+		return nil
+	}
+	return p.bodyTime.C
+}
+
+// handleBodyTimeOver ends a request whose client can have written the last byte a whole timeout ago, although it was not
+// received: a server reads the body slowly or not at all, so that its end waits to be read.
+func (p *pendingCall) handleBodyTimeOver() {
+	timeLeft := p.call.UploadTimeLeft()
+	if timeLeft > 0 {
+		p.bodyTime.Reset(timeLeft)
+		return
+	}
+	p.recordUnreadBody()
+	p.overdue.Reset(p.overdueAfter())
+	p.server.options.Post(TimeStarted{p.call, time.Now().Add(timeLeft - p.call.Timeout)})
+}
+
+// recordUnreadBody counts and logs a request that ends because its body was not received in time.
+func (p *pendingCall) recordUnreadBody() {
+	options, upload := &p.server.options, p.call.Outbound.Upload
+	options.Metrics.UnreadBodies.Add(1)
+	p.server.unreadBodyLog.Warn("clients: the time of a request is over before its body was read, as no server takes it",
+		"request", p.request.Header.Get("X-Request-ID"), "class", options.Config.ClassNames[p.call.Request.Class],
+		"received_bytes", upload.Received(), "length", upload.Length, "timeout", p.call.Timeout)
+}
+
 // handleOverdue fails a request for which the event loop has not decided on a response in time. That is a bug of the
 // sidecar, but the client still gets a response.
 func (p *pendingCall) handleOverdue() {
--- a/internal/sidecar/clientserver/request_parser.go
+++ b/internal/sidecar/clientserver/request_parser.go
@@ -77,6 +77,9 @@
 		return nil, nil
 	}
 	call.Outbound.Upload = inflight.NewUpload(length, first)
+	if conn := clientConn(r); conn != nil {
+		call.Outbound.Upload.LastByteNotBefore = conn.LastByteNotBefore
+	}
 	return body, nil
 }
 
--- a/internal/sidecar/clientserver/server.go
+++ b/internal/sidecar/clientserver/server.go
@@ -16,6 +16,7 @@
 	"marblelane/internal/sidecar/config"
 	"marblelane/internal/sidecar/framing"
 	"marblelane/internal/sidecar/inflight"
+	"marblelane/internal/sidecar/loglimit"
 	"marblelane/internal/sidecar/memory"
 	"marblelane/internal/sidecar/metrics"
 	"marblelane/internal/sidecar/netcall"
@@ -52,6 +53,8 @@
 	bodyMemory memory.Budget // for held bodies
 	bodies     openBodies
 
+	unreadBodyLog loglimit.Limiter // for requests whose time is over before their body was read
+
 	draining       atomic.Bool
 	conns          atomic.Int64 // number of open connections
 	requests       atomic.Int64 // number of requests that were read and whose response is not written yet
--- a/internal/sidecar/eventloop/calls.go
+++ b/internal/sidecar/eventloop/calls.go
@@ -23,16 +23,23 @@
 	l.HandleEvent(now, request)
 }
 
-// handleBodyComplete starts the deadline of a call and the clocks of its attempts once its body has been forwarded in
-// full.
+// startTime starts the client's time for a call with a streamed body, which may have begun earlier. A server may still be
+// reading the body.
+func (l *Loop) startTime(now float64, c *inflight.Call, at time.Time) {
+	c.Deadline = at.Add(c.Timeout)
+	l.HandleEvent(now, balance.BodyComplete{
+		Request: c.Request.ID, Remaining: l.Clock.Millis(c.Deadline) - now, Elapsed: max(now-l.Clock.Millis(at), 0),
+	})
+}
+
+// handleBodyComplete starts the clocks of a call's attempts once its body has been forwarded in full.
 func (l *Loop) handleBodyComplete(now float64, c *inflight.Call) {
-	c.Deadline = c.Outbound.Upload.CompletedAt().Add(c.Timeout)
 	if open := l.calls[c.Request.ID]; open != nil {
 		for _, a := range open.attempts {
 			a.StartedAt = now
 		}
 	}
-	l.HandleEvent(now, balance.BodyComplete{Request: c.Request.ID, Remaining: l.Clock.Millis(c.Deadline) - now})
+	l.startTime(now, c, c.Outbound.Upload.CompletedAt())
 }
 
 // handleCallAbandoned ends a call whose client has closed the connection.
--- a/internal/sidecar/eventloop/loop.go
+++ b/internal/sidecar/eventloop/loop.go
@@ -183,6 +183,8 @@
 		l.startCall(now, m.Call)
 	case clientserver.CallAbandoned:
 		l.handleCallAbandoned(now, m.Call)
+	case clientserver.TimeStarted:
+		l.startTime(now, m.Call, m.At)
 	case upstream.BodyComplete:
 		l.handleBodyComplete(now, m.Call)
 	case upstream.ResponseStarted:
--- a/internal/sidecar/inflight/call.go
+++ b/internal/sidecar/inflight/call.go
@@ -26,7 +26,7 @@
 	Request   balance.Request
 	Outbound  *Outbound
 	HeldBytes int           // bytes reserved for the body in the memory for held bodies
-	Timeout   time.Duration // the client's timeout, which starts when the last byte of the request is received
+	Timeout   time.Duration // the client's timeout, which starts when it writes the last byte of the request
 	Deadline  time.Time     // when the timeout expires; zero while the body is still being received
 	Response  chan Response // the event loop sends at most one response; buffered for it; never closed
 
@@ -58,11 +58,11 @@
 // DisconnectSeen reports whether ClientDisconnected has returned true before. It does not poll the connection.
 func (c *Call) DisconnectSeen() bool { return c.disconnectSeen.Load() }
 
-// UploadTimeLeft returns how much of the client's timeout remains for a request with a streamed body. The whole timeout
-// remains until the last byte of the body is received.
+// UploadTimeLeft returns how much of the client's timeout remains at least for a request with a streamed body. The whole
+// timeout remains while the client is known to be still writing.
 func (c *Call) UploadTimeLeft() time.Duration {
-	if completedAt := c.Outbound.Upload.CompletedAt(); !completedAt.IsZero() {
-		return time.Until(completedAt.Add(c.Timeout))
+	if end := c.Outbound.Upload.EarliestEnd(); !end.IsZero() {
+		return time.Until(end.Add(c.Timeout))
 	}
 	return c.Timeout
 }
--- a/internal/sidecar/inflight/upload.go
+++ b/internal/sidecar/inflight/upload.go
@@ -1,6 +1,7 @@
 package inflight
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"sync"
@@ -31,18 +32,24 @@
 	Length int64 // total length in bytes; -1: unknown
 	prefix []byte
 
+	// LastByteNotBefore returns the earliest time at which the client can have written the last byte of the body, of
+	// which at least remaining bytes were not received, or the zero time if it has not written that byte. nil stands for a
+	// client of which every byte is received as soon as it is written.
+	LastByteNotBefore func(remaining int64) time.Time
+
 	mu          sync.Mutex // guards the fields below
 	changed     sync.Cond  // signals changes of the fields below
 	pending     []byte     // bytes after the prefix that were received and not yet read by an attempt
+	received    int64      // number of bytes that were received, with the prefix
 	consumed    bool       // an attempt has read bytes after the prefix
 	aborted     bool       // Abort was called
 	endErr      error      // io.EOF: the whole body was received; nil: more bytes are expected; otherwise the receive error
-	completedAt time.Time
+	completedAt time.Time  // when the client can have written the last byte at the earliest; zero: it was not received
 }
 
 // NewUpload returns the upload of a body of which the prefix has been received.
 func NewUpload(length int64, prefix []byte) *Upload {
-	u := &Upload{Length: length, prefix: prefix}
+	u := &Upload{Length: length, prefix: prefix, received: int64(len(prefix))}
 	u.changed.L = &u.mu
 	return u
 }
@@ -75,8 +82,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.pending = b
+	u.received += int64(len(b))
 	if err != nil {
-		u.endErr, u.completedAt = err, time.Now()
+		u.endErr, u.completedAt = err, cmp.Or(u.lastByteNotBefore(), time.Now())
 	}
 	u.changed.Broadcast()
 	for len(u.pending) > 0 && !u.aborted {
@@ -107,14 +115,41 @@
 	return u.endErr != nil && u.endErr != io.EOF
 }
 
-// CompletedAt returns when the last byte of the body was received, or when receiving it failed. It is zero before that.
+// EarliestEnd returns the earliest time at which the client can have written the last byte of the body. It is zero as long
+// as the client is known to be still writing.
+func (u *Upload) EarliestEnd() time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.completedAt.IsZero() {
+		return u.completedAt
+	}
+	return u.lastByteNotBefore()
+}
+
+// lastByteNotBefore returns LastByteNotBefore for the bytes that are known to be missing. The caller holds the lock.
+func (u *Upload) lastByteNotBefore() time.Time {
+	if u.LastByteNotBefore == nil {
+		return time.Time{}
+	}
+	return u.LastByteNotBefore(max(u.Length-u.received, 0))
+}
+
+// Received returns the number of bytes of the body that were received.
+func (u *Upload) Received() int64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.received
+}
+
+// CompletedAt returns when the client's time started: the earliest time at which it can have written the last byte, or the
+// time at which receiving the body failed. It is zero until the last byte was received.
 func (u *Upload) CompletedAt() time.Time {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.completedAt
 }
 
-// SetCompletedAt replaces the time at which the last byte was received. Tests use it to let a client's timeout expire.
+// SetCompletedAt replaces the time at which the client's time started. Tests use it to let a client's timeout expire.
 func (u *Upload) SetCompletedAt(at time.Time) {
 	u.mu.Lock()
 	u.completedAt = at
--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -17,6 +17,7 @@
 type Metrics struct {
 	WrittenAttempts atomic.Int64 // attempts whose last byte was written to a server
 	InFlight        atomic.Int64 // requests that were accepted and have not completed
+	UnreadBodies    atomic.Int64 // requests whose time was over before their body was received
 	Servers         atomic.Pointer[ServerMetrics]
 	classes         []classCounters
 }
@@ -93,6 +94,7 @@
 	samples := []sample{
 		{"backend_calls", "counter", m.WrittenAttempts.Load()},
 		{"inflight", "gauge", m.InFlight.Load()},
+		{"unread_bodies", "counter", m.UnreadBodies.Load()},
 		{"hosts_listed", "gauge", int64(servers.Listed)},
 		{"hosts_down", "gauge", int64(servers.Avoided)},
 		{"hosts_doubted", "gauge", int64(servers.List.Suspected)},
--- a/internal/sidecar/netcall/peek.go
+++ b/internal/sidecar/netcall/peek.go
@@ -1,8 +1,11 @@
 package netcall
 
 import (
+	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // Peek reports whether a connection is known to be open, and whether it holds unread bytes.
@@ -11,6 +14,21 @@
 	return state == peekQuiet || state == peekUnread, state == peekUnread
 }
 
+// UnreadBytes returns the number of bytes that the system has received on a connection and that were not read.
+func UnreadBytes(c net.Conn) (bytes int, err error) {
+	tcp, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errNoDescriptor
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var queryErr error
+	err = raw.Control(func(fd uintptr) { bytes, queryErr = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return bytes, errors.Join(err, queryErr)
+}
+
 // peekResult is the state of a connection as a peek shows it.
 type peekResult uint8
 
--- a/internal/sidecar/sidecartest/slow_server.go
+++ b/internal/sidecar/sidecartest/slow_server.go
@@ -20,8 +20,8 @@
 	StopAfter      int // bytes of a body after which nothing more is read; 0: all are read
 }
 
-// paceInterval is the time between two reads or writes of a peer that is slow.
-const paceInterval = 20 * time.Millisecond
+// maxPaceStep is the time for which a slow server reads at most at once.
+const maxPaceStep = 20 * time.Millisecond
 
 // SlowServer is a server that reads the bodies of requests at a limited pace. It responds to a request that it has read
 // completely, and counts it as run.
@@ -80,7 +80,7 @@
 			return
 		}
 		if s.receiveBuffer > 0 {
-			conn.(*net.TCPConn).SetReadBuffer(s.receiveBuffer)
+			_ = conn.(*net.TCPConn).SetReadBuffer(s.receiveBuffer)
 		}
 		handlers.Go(func() {
 			defer conn.Close()
@@ -101,7 +101,7 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, &pacedReader{server: s, body: request.Body}); err != nil {
+		if _, err := io.Copy(io.Discard, &pacedReader{server: s, body: request.Body, startedAt: time.Now()}); err != nil {
 			return
 		}
 		id := request.Header.Get("X-Request-ID")
@@ -122,7 +122,10 @@
 type pacedReader struct {
 	server *SlowServer
 	body   io.Reader
-	read   int // bytes
+
+	read, lastRead int // bytes, in all and of the last read
+	startedAt      time.Time
+	spent          time.Duration // time that the bytes take that were read
 }
 
 // Read implements io.Reader.
@@ -138,10 +141,11 @@
 		p = p[:min(len(p), pace.StopAfter-r.read)]
 	}
 	if pace.BytesPerSecond > 0 {
-		time.Sleep(paceInterval)
-		p = p[:min(len(p), max(pace.BytesPerSecond*int(paceInterval)/int(time.Second), 1))]
+		r.spent += time.Duration(r.lastRead) * time.Second / time.Duration(pace.BytesPerSecond)
+		time.Sleep(time.Until(r.startedAt.Add(r.spent)))
+		p = p[:min(len(p), max(int(time.Duration(pace.BytesPerSecond)*maxPaceStep/time.Second), 1))]
 	}
 	n, err := r.body.Read(p)
-	r.read += n
+	r.read, r.lastRead = r.read+n, n
 	return n, err
 }
--- a/internal/sidecar/sidecartest/upload.go
+++ b/internal/sidecar/sidecartest/upload.go
@@ -72,7 +72,7 @@
 // SendOn sends the request on a connection and waits for the answer.
 func (u Upload) SendOn(conn net.Conn) UploadOutcome {
 	if u.SendBuffer > 0 {
-		conn.(*net.TCPConn).SetWriteBuffer(u.SendBuffer)
+		_ = conn.(*net.TCPConn).SetWriteBuffer(u.SendBuffer)
 	}
 	o := UploadOutcome{Upload: u, FirstAt: time.Now()}
 	var lastAt atomic.Pointer[time.Time]
