Show that an answer that its server still writes is cut off under load

What callers saw: an unsafe request with 4 s to wait got 502 after 1.00 s while its server was writing the answer, 3,000 or 60,000 bytes with a Content-Length in 2 s. The server had run it.

Hypotheses: 1 the attempt ends at the latency objective (1 s here), as it does for unsafe requests while load is shed; then chunked answers and such over 64 KiB, which are passed on as they come, are not cut. 2 the write or stream timeout (5 s) ends it; then not after 1.00 s. 3 the server's connection breaks; then the server sees it at another time than the objective.

--- a/internal/sidecar/sidecartest/slow_server.go
+++ b/internal/sidecar/sidecartest/slow_server.go
@@ -149,3 +149,57 @@
 	r.read, r.lastRead = r.read+n, n
 	return n, err
 }
+
+// SlowAnswer returns a ServeFunc that responds with a body of some bytes, written at a limited pace. It is framed by a
+// Content-Length, in chunks, or by the end of the connection.
+func SlowAnswer(size, bytesPerSecond int, framing AnswerFraming) ServeFunc {
+	return func(conn net.Conn, _ *http.Request, _ string) bool {
+		head := "HTTP/1.1 200 OK\r\n" + framing.header(size) + "\r\n"
+		if _, err := io.WriteString(conn, head); err != nil {
+			return false
+		}
+		body, startedAt := PatternBody(size), time.Now()
+		for sent := 0; sent < size; {
+			piece := body[sent:min(sent+max(int(time.Duration(bytesPerSecond)*maxPaceStep/time.Second), 1), size)]
+			sent += len(piece)
+			time.Sleep(time.Until(startedAt.Add(time.Duration(sent) * time.Second / time.Duration(bytesPerSecond))))
+			if _, err := conn.Write(framing.encode(piece, sent == size)); err != nil {
+				return false
+			}
+		}
+		return framing != AnswerUntilClose
+	}
+}
+
+// AnswerFraming is how the end of an answer is told.
+type AnswerFraming string
+
+// The framings of answers.
+const (
+	AnswerWithLength AnswerFraming = "length"
+	AnswerChunked    AnswerFraming = "chunked"
+	AnswerUntilClose AnswerFraming = "close"
+)
+
+// header returns the header lines of an answer, each with CRLF.
+func (f AnswerFraming) header(size int) string {
+	switch f {
+	case AnswerWithLength:
+		return fmt.Sprintf("Content-Length: %d\r\n", size)
+	case AnswerChunked:
+		return "Transfer-Encoding: chunked\r\n"
+	}
+	return "Connection: close\r\n"
+}
+
+// encode returns a piece of a body as it is sent; last marks the last one.
+func (f AnswerFraming) encode(piece []byte, last bool) []byte {
+	if f != AnswerChunked {
+		return piece
+	}
+	text := fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+	if last {
+		text += "0\r\n\r\n"
+	}
+	return []byte(text)
+}
--- a/internal/sidecar/sidecartest/upload.go
+++ b/internal/sidecar/sidecartest/upload.go
@@ -28,6 +28,7 @@
 	Chunked        bool          // false: with a Content-Length
 	Piece          int           // bytes of each write, and of each chunk; 0: all at once
 	BytesPerSecond int           // at which the body is written; 0: as fast as the connection takes it
+	StartAfter     time.Duration // the client waits this long before it connects
 	SendBuffer     int           // size in bytes of the client's send buffer; 0: the system's default
 }
 
@@ -61,6 +62,7 @@
 
 // Send sends the request on a new connection and waits for the answer.
 func (u Upload) Send(addr string) UploadOutcome {
+	time.Sleep(u.StartAfter)
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		return UploadOutcome{Upload: u, Rejected: true, Err: err}
