Let an answer that has started take the client's whole time

What callers saw: 502 after the latency objective for unsafe requests whose server was writing the answer.

Cause: while load is shed, an attempt of an unsafe request ends at the latency objective (retry.go, endsAtObjective), so that full queues do not make all answers late. The time limit was set on the connection for the whole answer, so it also ended one that had started: the work is done then, the queue is behind it, and the request may not be sent again. Answers that are passed on as they come were not concerned.

Fix: with the head of the answer the time limit of its connection becomes the client's own.

Looked at with it: health checks (250 ms for all of the answer, their own work), answers that come before the request is written (250 ms, the request is given up anyway), and answers that are passed on (5 s for each piece): these limits have no shorter one behind them.

--- a/internal/sidecar/upstream/response.go
+++ b/internal/sidecar/upstream/response.go
@@ -9,6 +9,7 @@
 	"marblelane/balance"
 	"marblelane/internal/sidecar/framing"
 	"marblelane/internal/sidecar/inflight"
+	"marblelane/internal/sidecar/netcall"
 )
 
 const (
@@ -51,6 +52,7 @@
 	}
 	var body []byte
 	if err == nil {
+		x.extendToCall(ctx, conn)
 		// Only a 200 for a client is forwarded as it arrives.
 		mayForward := x.attempt != nil && resp.StatusCode == http.StatusOK
 		reader := &bodyReader{conn: conn, resp: resp, deadline: x.deadline, mayForward: mayForward}
@@ -68,6 +70,19 @@
 	return x.completeOutcome(resp, body), reusableAfter(conn, resp)
 }
 
+// extendToCall extends the deadline of an attempt to that of its call. An attempt may end earlier as long as there is no
+// response, but a response that has started shows that the server has run the request.
+func (x *exchange) extendToCall(ctx context.Context, conn *serverConn) {
+	if x.attempt == nil || x.attempt.upload() != nil || !x.deadline.Before(x.attempt.Call.Deadline) {
+		return
+	}
+	x.deadline = x.attempt.Call.Deadline
+	conn.SetReadDeadline(x.deadline)
+	if ctx.Err() != nil { // the call above may have replaced the deadline that the cancellation set
+		conn.SetReadDeadline(netcall.PastDeadline)
+	}
+}
+
 // readHead reads the head of the final response. It also reports whether interim responses (1xx) preceded it.
 func readHead(conn *serverConn, req *http.Request) (resp *http.Response, interim bool, err error) {
 	resp, err = http.ReadResponse(conn.reader, req)
