Bound client connections and forwarded bodies by the memory that the program leaves

What callers would see: a sidecar killed for its memory beside hundreds of clients that stop within long requests, and with it all that was in flight.

Cause: the shares of the memory limit were of all of it, and left out the program (10.7 MB of pages and 2 MB of the runtime), the connections (24 kB each with a request that is being parsed, 528 at 1,024 descriptors) and what a forwarded body takes beside its held part (net/http's copy buffer of 32 kB, 16 kB between client and attempt, bufio, the server's connection, three goroutines). 170 such requests were let in at 32 MB. The runtime's own limit, three quarters, left 8 MB for 10.7 MB of program.

A long request beyond its share gets 503 at once, also while its client is still writing (the rejection of an excess request waited for up to 256 kB of its body before). Clients keep a third of the descriptors however short memory is. At the same limits fewer long requests run at once: 38 in place of 170 at 32 MB, 102 in place of 341 at 64 MB.

Not covered: an upgrade at 32 MB, where the pages of two programs count if a platform counts shared pages twice.

--- a/cmd/sidecar/memory_test.go
+++ b/cmd/sidecar/memory_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,6 +33,7 @@
 			"stopped, held":    {Size: 60_000, StopAfter: 50_000},
 			"stopped, chunked": {Size: size, StopAfter: 300_000, Chunked: true},
 			"stopped, pieces":  {Size: size, StopAfter: 66_000, Chunked: true, Piece: 1000},
+			"many fields":      {Size: 60_000, StopAfter: 50_000, Lines: strings.Repeat("a: b\r\n", 2500)},
 			"slow":             {Size: size, Piece: 3000, BytesPerSecond: 64_000},
 			"slow answers":     {Size: 10, ReceiveBuffer: 4 << 10, ReadPerSecond: 20_000},
 		} {
--- a/internal/sidecar/clientserver/server.go
+++ b/internal/sidecar/clientserver/server.go
@@ -53,13 +53,16 @@
 	bodyMemory memory.Budget // for held bodies
 	bodies     openBodies
 
-	unreadBodyLog loglimit.Limiter // for requests whose time is over before their body was read
+	unreadBodyLog  loglimit.Limiter // for requests whose time is over before their body was read
+	streamLimitLog loglimit.Limiter // for requests above streamLimit
 
 	draining       atomic.Bool
 	conns          atomic.Int64 // number of open connections
 	requests       atomic.Int64 // number of requests that were read and whose response is not written yet
 	keepAliveLimit atomic.Int64 // number of open connections at which connections are closed after a response
 	requestLimit   atomic.Int64 // maximum number of concurrent requests
+	streams        atomic.Int64 // number of those requests whose body is streamed to the server
+	streamLimit    atomic.Int64 // maximum of streams
 }
 
 // New returns a server that rejects all requests until its limits are set.
@@ -101,6 +104,10 @@
 // RequestLimit returns the maximum number of concurrent requests.
 func (s *Server) RequestLimit() int { return int(s.requestLimit.Load()) }
 
+// SetStreamLimit sets the maximum number of concurrent requests whose body is streamed to the server. Requests above the
+// limit are rejected.
+func (s *Server) SetStreamLimit(requests int) { s.streamLimit.Store(int64(requests)) }
+
 // SetBodyMemory sets the memory for all held bodies, in bytes. A body may use up to inflight.MinHeldBody beyond it.
 func (s *Server) SetBodyMemory(bytes int64) { s.bodyMemory.SetLimit(bytes) }
 
@@ -173,14 +180,39 @@
 	// server, so a rejection is correct.
 	if s.requests.Add(1) > s.requestLimit.Load() {
 		s.requests.Add(-1)
-		s.options.Metrics.CountResponse(call.Request.Class, inflight.StatusRejected)
-		writeResponse(w, inflight.Response{Status: inflight.StatusRejected})
+		s.rejectExcess(w, r, call)
 		return
 	}
 	defer s.requests.Add(-1)
+	if body == nil {
+		s.serve(w, r, call, nil)
+		return
+	}
+	if s.streams.Add(1) > s.streamLimit.Load() {
+		s.streams.Add(-1)
+		s.streamLimitLog.Warn("clients: too many requests with long bodies for the memory limit, requests are rejected",
+			"limit", s.streamLimit.Load())
+		s.rejectExcess(w, r, call)
+		return
+	}
+	defer s.streams.Add(-1)
 	s.serve(w, r, call, body)
 }
 
+// rejectExcess rejects a request above a limit. The client may not have sent all of its body.
+func (s *Server) rejectExcess(w http.ResponseWriter, r *http.Request, call *inflight.Call) {
+	bodyIncomplete := call.Outbound.Upload != nil
+	if bodyIncomplete {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.Header().Set("Connection", "close")
+	}
+	s.options.Metrics.CountResponse(call.Request.Class, inflight.StatusRejected)
+	writeResponse(w, inflight.Response{Status: inflight.StatusRejected})
+	if bodyIncomplete {
+		discardBody(w, r)
+	}
+}
+
 // serveReady serves the ready check.
 func (s *Server) serveReady(w http.ResponseWriter, r *http.Request) {
 	if !allowMethods(w, r, http.MethodGet, http.MethodHead) {
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -17,7 +17,9 @@
 	maxReserve         = 64   // sockets
 	managementFraction = 0.25 // fraction of the reserve that connections to the management address may use
 	clientFraction     = 0.55 // fraction of the remaining sockets for clients; servers get the others
-	keepAliveFraction  = 0.75 // fraction of the client connections; beyond it connections are closed after a response
+	// minClientFraction of all sockets are for clients even if memory is short: clients may use a third to send requests.
+	minClientFraction = 1. / 3
+	keepAliveFraction = 0.75 // fraction of the client connections; beyond it connections are closed after a response
 
 	requestFraction = 0.5      // fraction of the memory limit for everything but buffered request bodies
 	requestMemory   = 96 << 10 // bytes for forwarding a long body or response: buffers, connections and stacks
@@ -26,8 +28,8 @@
 )
 
 // budget limits all processes of a sidecar together: the connections to the management address, from clients and to
-// servers, and the number of concurrent requests.
-type budget struct{ management, clients, servers, requests int }
+// servers, and the number of concurrent requests, and of those among them whose body is forwarded as it arrives.
+type budget struct{ management, clients, servers, requests, streams int }
 
 // newBudget derives the budget from the limits of the configuration.
 func newBudget(cfg *config.Config) budget {
@@ -38,6 +40,7 @@
 		clients:    int(float64(free) * clientFraction),
 	}
 	b.servers = free - b.clients
+	b.clients = min(b.clients, max(cfg.MaxClientConns(), int(float64(cfg.Sockets)*minClientFraction)))
 	b.requests = b.servers
 	if cfg.MemoryMB > 0 {
 		b.requests = min(b.requests, int(float64(cfg.MemoryMB)*requestFraction*bytesPerMB/requestMemory))
@@ -45,6 +48,7 @@
 	if cfg.MaxOpenRequests > 0 {
 		b.requests = min(b.requests, cfg.MaxOpenRequests)
 	}
+	b.streams = min(b.requests, cfg.MaxStreams())
 	return b
 }
 
@@ -62,6 +66,7 @@
 	s.listener.SetLimit(clients)
 	s.clients.SetKeepAliveLimit(int(float64(clients) * keepAliveFraction))
 	s.clients.SetRequestLimit(max(s.budget.requests/processes, 1))
+	s.clients.SetStreamLimit(max(s.budget.streams/processes, 1))
 	s.loop.Pool.SetLimit(s.budget.servers / processes)
 	s.loop.Pool.SetHeadMemory(s.cfg.ResponseHeadMemory() / int64(processes))
 	s.listener.SetHeadMemory(s.cfg.HeadMemory() / int64(processes))
