Play drawn uploads between slow peers, signals, upgrades and crowds

Clients use their open connections until the kill and open new ones for 0.4 s after SIGTERM. Checked: a final answer within 0.55 s of its time, an error within 3 s for who has stopped, unsafe requests run once at most and never behind a 503, a 200 only from a server, memory with all pages, and that the process runs until SIGTERM.

--- a/internal/sidecar/sidecartest/upload.go
+++ b/internal/sidecar/sidecartest/upload.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,8 @@
 	// FinalAnswerSlack is how long after its timeout a request may get its final answer: half a second, and the 50 ms by
 	// which every time limit is longer on sockets.
 	FinalAnswerSlack = 550 * time.Millisecond
+	// stoppedClientLimit is the time within which a client that has stopped in the middle of a request is owed an error.
+	stoppedClientLimit = 3 * time.Second
 	// watchTime is how long after its due time an answer is waited for, so that the outcome shows whether it came at all.
 	watchTime = 12 * time.Second
 )
@@ -42,14 +45,20 @@
 	Status   int           // of the answer; 0: there was none
 	Written  bool          // all of the request was written before the answer came
 	FirstAt  time.Time     // when the first byte was written
-	LastAt   time.Time     // when the last byte was written; if Written is not set, when the answer came
+	LastAt   time.Time     // when the client wrote its last byte, or when the answer came if that was before
 	Took     time.Duration // from LastAt to the end of the answer, or to the end of the wait for it
 	Err      error         // why there is no answer
 	Rejected bool          // the connection was refused
+	Unheard  bool          // the connection ended without a byte of an answer
+	Closes   bool          // the connection carries no further request
 }
 
-// Late reports whether the request got no final answer within the time that it is owed one, give or take a lag.
+// Late reports whether the request got no final answer within the time that it is owed one, give or take a lag. A request
+// whose client has stopped is owed an error or the end of its connection.
 func (o UploadOutcome) Late(lag time.Duration) bool {
+	if o.Upload.StopAfter > 0 {
+		return !o.Rejected && (o.Status == 0 && !o.Unheard || o.Took > stoppedClientLimit+lag)
+	}
 	return !o.Rejected && (o.Status == 0 || o.Took > o.Upload.Timeout+FinalAnswerSlack+lag)
 }
 
@@ -86,33 +95,40 @@
 	o := UploadOutcome{Upload: u, FirstAt: time.Now()}
 	var lastAt atomic.Pointer[time.Time]
 	go func() {
-		if u.write(conn) == nil {
+		if err := u.write(conn); err == nil || err == errClientStopped {
 			now := time.Now()
 			lastAt.Store(&now)
 			conn.SetReadDeadline(now.Add(u.Timeout + watchTime))
 		}
 	}()
 	conn.SetReadDeadline(time.Now().Add(u.Timeout + u.writeTime() + 2*watchTime))
-	o.Status, o.Err = u.readAnswer(conn)
+	u.readAnswer(conn, &o)
 	now := time.Now()
 	o.LastAt = now
 	if at := lastAt.Load(); at != nil {
-		o.Written, o.LastAt = true, *at
+		o.Written, o.LastAt = u.StopAfter == 0, *at
 	}
+	o.Closes = o.Closes || o.Status == 0 || !o.Written
 	o.Took = now.Sub(o.LastAt)
 	return o
 }
 
-// readAnswer reads a complete answer at the client's pace and returns its status, or 0 if there is none.
-func (u Upload) readAnswer(conn net.Conn) (status int, err error) {
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+// readAnswer reads a complete answer at the client's pace.
+func (u Upload) readAnswer(conn net.Conn, o *UploadOutcome) {
+	in := bufio.NewReader(conn)
+	if _, err := in.Peek(1); err != nil {
+		o.Err, o.Unheard = err, !errors.Is(err, os.ErrDeadlineExceeded)
+		return
+	}
+	response, err := http.ReadResponse(in, nil)
 	if err != nil {
-		return 0, err
+		o.Err = err
+		return
 	}
-	if _, err := io.Copy(io.Discard, newPacedReader(response.Body, u.ReadPerSecond)); err != nil {
-		return 0, err
+	o.Closes = response.Close
+	if _, o.Err = io.Copy(io.Discard, newPacedReader(response.Body, u.ReadPerSecond)); o.Err == nil {
+		o.Status = response.StatusCode
 	}
-	return response.StatusCode, nil
 }
 
 // writeTime returns how long the client takes to write the body if nothing holds it back.
@@ -149,12 +165,15 @@
 
 // write writes the request at the client's pace.
 func (u Upload) write(conn net.Conn) error {
-	framing := fmt.Sprintf("Content-Length: %d", u.Size)
-	if u.Chunked {
-		framing = "Transfer-Encoding: chunked"
+	method, framing := http.MethodPost, fmt.Sprintf("Content-Length: %d\r\n", u.Size)
+	switch {
+	case u.Size == 0:
+		method, framing = http.MethodGet, ""
+	case u.Chunked:
+		framing = "Transfer-Encoding: chunked\r\n"
 	}
-	_, err := fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Timeout-Ms: %d\r\n%s%s\r\n\r\n",
-		u.ID, u.Class, u.Timeout.Milliseconds(), u.Lines, framing)
+	_, err := fmt.Fprintf(conn, "%s /api HTTP/1.1\r\nHost: h\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Timeout-Ms: %d\r\n%s%s\r\n",
+		method, u.ID, u.Class, u.Timeout.Milliseconds(), u.Lines, framing)
 	piece := u.Piece
 	if piece == 0 {
 		piece = u.Size
@@ -162,7 +181,7 @@
 	startedAt := time.Now()
 	for sent := 0; err == nil && sent < u.Size; {
 		if u.StopAfter > 0 && sent >= u.StopAfter {
-			return errClientStopped
+			break
 		}
 		part := u.part(min(piece, u.Size-sent), sent)
 		sent += min(piece, u.Size-sent)
@@ -171,5 +190,8 @@
 		}
 		_, err = io.WriteString(conn, part)
 	}
+	if err == nil && u.StopAfter > 0 {
+		return errClientStopped
+	}
 	return err
 }
