Limit the rate of a connection's requests that need no server

What callers saw: while a client sent requests at full speed that the sidecar answers by itself, those of other clients took 0.1 s and more, 0.4 s with four such connections and 0.7 s, or 503, with eight.

Cause: net/http answers such requests without a wait, so that the connection's goroutine keeps the one processor until it is preempted, 10 ms later, and each step of another request (read, loop, attempt, answer, write) waits for that. Requests that go to servers, also rejected ones, wait in between; malformed ones end their connection.

Not covered: hundreds of connections that each keep within the rate.

--- a/internal/sidecar/clientserver/client_conn.go
+++ b/internal/sidecar/clientserver/client_conn.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"marblelane/internal/sidecar/memory"
 	"marblelane/internal/sidecar/netcall"
 )
@@ -33,6 +35,8 @@
 	lastRead   atomic.Int64        // when bytes were last read, in ns since epoch; 0: never; inputClosed: input is discarded
 	input      inputClock
 
+	ownResponses *rate.Limiter // of responses that need no server; used by the handler; nil: there were none
+
 	// readLock is held while bytes are read from the system, and while the connection is selected for closing and
 	// half-closed. So bytes from the client are either read before the half-close and become part of a request, or are
 	// read after it and discarded. It may be locked while Limiter.mu is held, but not the other way round.
--- a/internal/sidecar/clientserver/server.go
+++ b/internal/sidecar/clientserver/server.go
@@ -161,6 +161,7 @@
 	case ReadyPath:
 		s.serveReady(w, r)
 	default:
+		awaitOwnResponse(r)
 		http.NotFound(w, r)
 	}
 }
@@ -218,6 +219,7 @@
 	if !allowMethods(w, r, http.MethodGet, http.MethodHead) {
 		return
 	}
+	awaitOwnResponse(r)
 	if s.Draining() {
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 		return
@@ -230,6 +232,7 @@
 	if slices.Contains(methods, r.Method) {
 		return true
 	}
+	awaitOwnResponse(r)
 	w.Header().Set("Allow", strings.Join(methods, ", "))
 	http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
 	return false
