Send no unsafe request again whose client left after it may have run

What callers saw: an unsafe request ran twice where its ID came again on another connection after its client had left, also at the other process of an upgrade.

Cause: an ID was passed on and forgotten.

Fix: the hashes of the IDs of unsafe requests are kept while they are in flight and, if an attempt was written whole and the client was gone at its end, for a minute more (4,096 at most). Such an ID gets 502 and is not sent. At an upgrade the older process sends them to the newer one over the hand-over's connection, 8 bytes each, those it has when the newer one connects as well; an older program at either end reads and sends nothing there, as before. An ID whose request was answered to a client that stayed may come again, and so may one of which no attempt was written: a request that crossed the end of its connection is served.

Requests with idempotency keys are bounded by their window and not concerned.

--- a/cmd/sidecar/returning_id_test.go
+++ b/cmd/sidecar/returning_id_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"marblelane/internal/sidecar/sidecartest"
 )
 
@@ -37,3 +39,40 @@
 	}
 	p.cmd.terminate(t)
 }
+
+// The same holds for the other process of an upgrade, whether the client left before that one started or after.
+func TestReturningID_acrossUpgrade(t *testing.T) {
+	for _, leftBefore := range []bool{true, false} {
+		t.Run(fmt.Sprintf("left before %v", leftBefore), func(t *testing.T) {
+			server := sidecartest.NewSlowServer(t, "s", sidecartest.ReadPace{}, 0, 100*time.Millisecond)
+			changes := conf{
+				"listen": sidecartest.BindAddr(t, unix.SO_REUSEPORT), "management": "127.0.0.1:0", "TMPDIR": shortDir(t),
+			}
+			old := launchUploads(t, changes, server)
+			old.awaitHandoverSocket(changes["TMPDIR"].(string))
+			upload := sidecartest.Upload{ID: "returning", Class: "unsafe", Timeout: time.Second, Size: 200}
+			conn := old.dial()
+			leave := func() {
+				go upload.SendOn(conn.TCPConn)
+				time.Sleep(30 * time.Millisecond)
+				conn.Close()
+				time.Sleep(50 * time.Millisecond) // for the other process to be notified
+			}
+			if leftBefore {
+				leave()
+			}
+			next := launchUploads(t, changes, server)
+			old.awaitLine("the successor started serving")
+			old.sigterm()
+			time.Sleep(50 * time.Millisecond) // for the listener of the older process to be closed
+			if !leftBefore {
+				leave()
+			}
+			if o := upload.Send(next.addr); server.Runs(upload.ID) != 1 || o.Status != 502 {
+				t.Errorf("run %d times, the second time: %v", server.Runs(upload.ID), o)
+			}
+			old.awaitEnd()
+			next.cmd.terminate(t)
+		})
+	}
+}
--- a/internal/sidecar/clientserver/server.go
+++ b/internal/sidecar/clientserver/server.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"marblelane/balance"
 	"marblelane/internal/sidecar/checkpoint"
 	"marblelane/internal/sidecar/config"
 	"marblelane/internal/sidecar/framing"
@@ -38,7 +39,10 @@
 type Options struct {
 	Config  *config.Config
 	Metrics *metrics.Metrics
-	Post    func(any) // passes an Arrival or a CallAbandoned to the event loop
+	Post    func(any) // passes an Arrival, TimeStarted or CallAbandoned to the event loop
+
+	// Abandoned is called with the hash of the ID of a non-idempotent request that may have run and whose client left.
+	Abandoned func(id uint64) // optional
 
 	ReadTimeout        time.Duration            // optional: DefaultReadTimeout
 	WriteTimeout       time.Duration            // optional: DefaultWriteTimeout
@@ -52,9 +56,11 @@
 	options    Options
 	bodyMemory memory.Budget // for held bodies
 	bodies     openBodies
+	unsafeIDs  unsafeIDs
 
 	unreadBodyLog  loglimit.Limiter // for requests whose time is over before their body was read
 	streamLimitLog loglimit.Limiter // for requests above streamLimit
+	repeatedIDLog  loglimit.Limiter // for IDs that come again
 
 	draining       atomic.Bool
 	conns          atomic.Int64 // number of open connections
@@ -181,34 +187,69 @@
 	// server, so a rejection is correct.
 	if s.requests.Add(1) > s.requestLimit.Load() {
 		s.requests.Add(-1)
-		s.rejectExcess(w, r, call)
+		s.respondAtOnce(w, r, call, inflight.StatusRejected)
 		return
 	}
 	defer s.requests.Add(-1)
 	if body == nil {
-		s.serve(w, r, call, nil)
+		s.serveOnce(w, r, call, nil)
 		return
 	}
 	if s.streams.Add(1) > s.streamLimit.Load() {
 		s.streams.Add(-1)
 		s.streamLimitLog.Warn("clients: too many requests with long bodies for the memory limit, requests are rejected",
 			"limit", s.streamLimit.Load())
-		s.rejectExcess(w, r, call)
+		s.respondAtOnce(w, r, call, inflight.StatusRejected)
 		return
 	}
 	defer s.streams.Add(-1)
+	s.serveOnce(w, r, call, body)
+}
+
+// serveOnce serves a request, unless it is a non-idempotent one that is in flight on another connection or may have run
+// for a client that left: such a request fails.
+func (s *Server) serveOnce(w http.ResponseWriter, r *http.Request, call *inflight.Call, body io.Reader) {
+	if s.options.Config.Balance.Classes[call.Request.Class].Idempotency != balance.NonIdempotent {
+		s.serve(w, r, call, body)
+		return
+	}
+	id := config.Hash(r.Header.Get("X-Request-ID"))
+	if !s.unsafeIDs.begin(id, time.Now()) {
+		s.repeatedIDLog.Warn("clients: a request that may have run is not sent again", "request", r.Header.Get("X-Request-ID"))
+		s.respondAtOnce(w, r, call, inflight.StatusFailed)
+		return
+	}
+	defer s.endUnsafe(id, call)
 	s.serve(w, r, call, body)
 }
 
-// rejectExcess rejects a request above a limit. The client may not have sent all of its body.
-func (s *Server) rejectExcess(w http.ResponseWriter, r *http.Request, call *inflight.Call) {
+// endUnsafe records the end of a non-idempotent request.
+func (s *Server) endUnsafe(id uint64, call *inflight.Call) {
+	defer s.unsafeIDs.end(id)
+	if !call.Written.Load() || !call.ClientDisconnected() {
+		return
+	}
+	s.unsafeIDs.abandon(id, time.Now())
+	if s.options.Abandoned != nil {
+		s.options.Abandoned(id)
+	}
+}
+
+// RecordAbandoned records that another process of this sidecar has sent a non-idempotent request whose client left.
+func (s *Server) RecordAbandoned(id uint64) { s.unsafeIDs.abandon(id, time.Now()) }
+
+// AbandonedIDs returns the hashes of the IDs of non-idempotent requests that may have run and whose client left.
+func (s *Server) AbandonedIDs() []uint64 { return s.unsafeIDs.all() }
+
+// respondAtOnce responds to a request without serving it. The client may not have sent all of its body.
+func (s *Server) respondAtOnce(w http.ResponseWriter, r *http.Request, call *inflight.Call, status int) {
 	bodyIncomplete := call.Outbound.Upload != nil
 	if bodyIncomplete {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 		w.Header().Set("Connection", "close")
 	}
-	s.options.Metrics.CountResponse(call.Request.Class, inflight.StatusRejected)
-	writeResponse(w, inflight.Response{Status: inflight.StatusRejected})
+	s.options.Metrics.CountResponse(call.Request.Class, status)
+	writeResponse(w, inflight.Response{Status: status})
 	if bodyIncomplete {
 		discardBody(w, r)
 	}
--- a/internal/sidecar/handover/predecessor.go
+++ b/internal/sidecar/handover/predecessor.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +17,9 @@
 	"marblelane/internal/sidecar/netcall"
 )
 
+// idBytes is the size of the hash of an ID that the predecessor sends.
+const idBytes = 8
+
 // descriptorBytes is the size of a file descriptor in a control message.
 const descriptorBytes = 4
 
@@ -108,5 +112,15 @@
 // Close closes the connection to the predecessor.
 func (p *Predecessor) Close() error { return p.conn.Close() }
 
-// AwaitEnd waits until the predecessor has ended.
-func (p *Predecessor) AwaitEnd() { _, _ = io.Copy(io.Discard, netcall.RetryingConn{Conn: p.conn}) }
+// AwaitEnd waits until the predecessor has ended. Until then it calls abandoned with the hash of the ID of each
+// non-idempotent request that the predecessor may have run and whose client left.
+func (p *Predecessor) AwaitEnd(abandoned func(id uint64)) {
+	in := netcall.RetryingConn{Conn: p.conn}
+	for {
+		var id [idBytes]byte
+		if _, err := io.ReadFull(in, id[:]); err != nil {
+			return
+		}
+		abandoned(binary.BigEndian.Uint64(id[:]))
+	}
+}
--- a/internal/sidecar/handover/successors.go
+++ b/internal/sidecar/handover/successors.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -25,11 +27,50 @@
 	Bind         func(network string, addr *net.UnixAddr) (*net.UnixListener, error)
 	Serving      atomic.Int64 // number of successors that serve
 
+	// AbandonedIDs returns the hashes of the IDs of non-idempotent requests that may have run and whose client left. They
+	// are sent to each new successor.
+	AbandonedIDs func() []uint64
+
 	socket     net.Listener
 	goroutines sync.WaitGroup // running goroutines of accept and serveSuccessor
 	mu         sync.Mutex     // guards closed and conns
 	closed     bool
 	conns      map[net.Conn]struct{}
+	informed   map[net.Conn]struct{} // those of conns that have got the listening socket
+}
+
+// idWriteTimeout bounds the writes of IDs to a successor, which may hang.
+const idWriteTimeout = 100 * time.Millisecond
+
+// AnnounceAbandoned sends the hash of an ID to all successors.
+func (s *Successors) AnnounceAbandoned(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.informed {
+		sendIDs(c, []uint64{id})
+	}
+}
+
+// sendAbandoned sends the hashes of all IDs to a successor that has got the listening socket.
+func (s *Successors) sendAbandoned(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.AbandonedIDs != nil {
+		sendIDs(c, s.AbandonedIDs())
+	}
+	s.informed[c] = struct{}{}
+}
+
+// sendIDs sends hashes of IDs, in idBytes each.
+func sendIDs(c net.Conn, ids []uint64) {
+	var message []byte
+	for _, id := range ids {
+		message = binary.BigEndian.AppendUint64(message, id)
+	}
+	c.SetWriteDeadline(time.Now().Add(idWriteTimeout))
+	if _, err := (netcall.RetryingConn{Conn: c}).Write(message); err != nil {
+		slog.Info("upgrade: failed to send IDs of abandoned requests to the successor", "err", err)
+	}
 }
 
 // Listen creates the handover socket at the path, in place of the predecessor's, and accepts successors in the
@@ -50,7 +91,7 @@
 		return err
 	}
 	s.socket = listener.Wrap(netcall.WithFaults(l, s.Faults), "upgrade", nil)
-	s.conns = map[net.Conn]struct{}{}
+	s.conns, s.informed = map[net.Conn]struct{}{}, map[net.Conn]struct{}{}
 	s.goroutines.Go(s.accept)
 	return nil
 }
@@ -97,12 +138,14 @@
 	if err := s.SendListener(c); err != nil {
 		slog.Warn("upgrade: failed to hand over the listening socket", "err", err)
 	} else {
+		s.sendAbandoned(c)
 		s.trackServing(netcall.RetryingConn{Conn: c})
 	}
 	c.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	delete(s.informed, c)
 	if !s.closed {
 		s.CountChanged(len(s.conns))
 	}
--- a/internal/sidecar/inflight/call.go
+++ b/internal/sidecar/inflight/call.go
@@ -36,6 +36,8 @@
 	disconnectSeen atomic.Bool
 
 	finished atomic.Bool
+	// Written is set once an attempt has written the last byte of the request: it may have run.
+	Written atomic.Bool
 	// WriteLock is held by an attempt from its last check before its first byte until it has written its last byte.
 	WriteLock sync.Mutex
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -104,8 +104,9 @@
 	}
 	s.successors = handover.Successors{
 		Listener: s.tcpListener, Faults: cfg.Faults, Bind: net.ListenUnix,
-		CountChanged: func(alive int) { s.setProcessCount(&s.newerProcesses, alive) },
+		CountChanged: func(alive int) { s.setProcessCount(&s.newerProcesses, alive) }, AbandonedIDs: s.clients.AbandonedIDs,
 	}
+	s.clients.Configure(func(o *clientserver.Options) { o.Abandoned = s.successors.AnnounceAbandoned })
 	if predecessor != nil {
 		s.olderProcesses = 1
 	}
@@ -255,7 +256,7 @@
 	var watching sync.WaitGroup
 	exited := make(chan struct{})
 	watching.Go(func() {
-		s.predecessor.AwaitEnd()
+		s.predecessor.AwaitEnd(s.clients.RecordAbandoned)
 		close(exited)
 		s.setProcessCount(&s.olderProcesses, 0)
 	})
--- a/internal/sidecar/upstream/request_writer.go
+++ b/internal/sidecar/upstream/request_writer.go
@@ -122,6 +122,7 @@
 	}
 	if written && attempt != nil {
 		attempt.Written.Store(true)
+		attempt.Call.Written.Store(true)
 	}
 	return written, err
 }
