Start the time of a held-back body at its own bytes, not at the read behind it

At the end of a body net/http reads on in the background. Where that read found nothing before the end was recorded, the client counted as still writing and its time began with the end of the body: the answer could come a whole wait late, if the body was read to its end within the wait.

Fix: the end of a body takes the time of the bytes that were read last, whether or not a read waits behind them. And a wait that net/http ends when it has written a response shows that what is read next was not written before, so that the time of the next request on a connection does not begin with the one before it.

Measured: TestInputClock_waitBehindBody starts the time at the end of the body before (the present time in place of 5 s earlier) and at the first byte now; two more cases of TestInputClock hold the second.

--- a/internal/sidecar/clientserver/client_conn.go
+++ b/internal/sidecar/clientserver/client_conn.go
@@ -67,6 +67,10 @@
 	return c.input.lastByteNotBefore(time.Now(), remaining, c.unreadBytes)
 }
 
+// LastReadNotBefore returns the earliest time at which the client can have written the last byte that was read. It is zero
+// if nothing was read.
+func (c *ClientConn) LastReadNotBefore() time.Time { return c.input.lastReadNotBefore() }
+
 func (c *ClientConn) unreadBytes() (int, error) { return netcall.UnreadBytes(c.Conn) }
 
 // Read reads from the connection. If the input is closed it discards all bytes until the client closes its side. If the
@@ -98,7 +102,7 @@
 		}
 		return readErr
 	})
-	c.input.setWaiting(false)
+	c.input.endRead(time.Now())
 	switch {
 	case err != nil:
 		return 0, asReadError(err)
@@ -122,7 +126,7 @@
 		case err == syscall.EINTR:
 			continue
 		case err == syscall.EAGAIN:
-			c.input.setWaiting(true)
+			c.input.startWaiting()
 			return 0, err
 		case err != nil:
 			return 0, err
--- a/internal/sidecar/clientserver/input_clock.go
+++ b/internal/sidecar/clientserver/input_clock.go
@@ -21,8 +21,9 @@
 // And the buffers are limited, so that a byte is written later than those that are far ahead of it are read.
 type inputClock struct {
 	mu           sync.Mutex // guards the fields below
-	notBefore    time.Time  // the next byte to be read was not written earlier; zero: nothing was read
+	notBefore    time.Time  // the last byte that was read was not written earlier; zero: nothing was read
 	waiting      bool       // a read waits for the client's next bytes
+	emptyAt      time.Time  // the last time since the last byte was read at which nothing was there to read; zero: none
 	read         int64      // number of bytes that were read
 	nextPosition int64      // number of bytes that have to be read for the next entry of positions
 	positions    []inputPosition
@@ -34,20 +35,31 @@
 	maxWritten int64
 }
 
-// setWaiting records whether a read waits because there is nothing to read.
-func (c *inputClock) setWaiting(waiting bool) {
+// startWaiting records that a read waits because there is nothing to read.
+func (c *inputClock) startWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = waiting
+	c.waiting = true
+}
+
+// endRead records that a read has ended. net/http ends one that waits when a response has been written.
+func (c *inputClock) endRead(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting {
+		c.waiting, c.emptyAt = false, now
+	}
 }
 
 // record records that n bytes were read. unread returns the number of further bytes that wait to be read.
 func (c *inputClock) record(now time.Time, n int, unread func() (int, error)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.waiting || c.notBefore.IsZero() {
-		c.waiting, c.notBefore, c.positions = false, now, nil
-		c.nextPosition = c.read + positionInterval
+	switch {
+	case c.waiting || c.notBefore.IsZero():
+		c.restart(now)
+	case !c.emptyAt.IsZero():
+		c.restart(c.emptyAt)
 	}
 	c.read += int64(n)
 	if c.read >= c.nextPosition {
@@ -56,6 +68,12 @@
 	c.advance(c.read)
 }
 
+// restart records that the next byte to be read was not written before a time. The caller holds the lock.
+func (c *inputClock) restart(notBefore time.Time) {
+	c.waiting, c.emptyAt, c.notBefore, c.positions = false, time.Time{}, notBefore, nil
+	c.nextPosition = c.read + positionInterval
+}
+
 // lastByteNotBefore returns the earliest time at which the client can have written the last byte of its request, of which
 // at least remaining bytes were not read. It returns the zero time if the client has not written that byte yet.
 func (c *inputClock) lastByteNotBefore(now time.Time, remaining int64, unread func() (int, error)) time.Time {
@@ -71,6 +89,14 @@
 	return c.notBefore
 }
 
+// lastReadNotBefore returns the earliest time at which the client can have written the last byte that was read. It is
+// zero if nothing was read.
+func (c *inputClock) lastReadNotBefore() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.notBefore
+}
+
 // addPosition records how far the client can have written by now. The caller holds the lock.
 func (c *inputClock) addPosition(now time.Time, unread func() (int, error)) {
 	c.nextPosition = c.read + positionInterval
--- a/internal/sidecar/clientserver/input_clock_test.go
+++ b/internal/sidecar/clientserver/input_clock_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"io"
 	"testing"
 	"time"
+
+	"marblelane/internal/sidecar/inflight"
 )
 
 // The time of the last byte is never later than when it can have been written, and follows the client as far as reads
@@ -27,13 +30,24 @@
 		}, 0, unread(0), at(1)},
 		"read after a wait": {func(c *inputClock) {
 			c.record(at(1), 100, unread(0))
-			c.setWaiting(true)
+			c.startWaiting()
 			c.record(at(7), 100, unread(0))
 		}, 0, unread(0), at(7)},
 		"still waiting": {func(c *inputClock) {
 			c.record(at(1), 100, unread(0))
-			c.setWaiting(true)
+			c.startWaiting()
 		}, 0, unread(0), time.Time{}},
+		"read after a wait that was ended": {func(c *inputClock) {
+			c.record(at(1), 100, unread(0))
+			c.startWaiting()
+			c.endRead(at(6))
+			c.record(at(7), 100, unread(0))
+		}, 0, unread(0), at(6)},
+		"read before a wait that was ended": {func(c *inputClock) {
+			c.record(at(1), 100, unread(0))
+			c.startWaiting()
+			c.endRead(at(6))
+		}, 0, unread(0), at(1)},
 		"far ahead of what was read": {func(c *inputClock) {
 			c.record(at(1), 100, unread(0))
 			c.record(at(2), positionInterval, unread(1000))
@@ -57,3 +71,19 @@
 		})
 	}
 }
+
+// A body that was held back and is then read to its end does not start its client's time anew because the next read, which
+// is behind the body, waits.
+func TestInputClock_waitBehindBody(t *testing.T) {
+	start := time.Now()
+	conn := &ClientConn{}
+	conn.input.record(start, 100, conn.unreadBytes)
+	upload := inflight.NewUpload(-1, nil)
+	upload.Input = conn
+	conn.input.record(start.Add(5*time.Second), 100, conn.unreadBytes)
+	conn.input.startWaiting()
+	upload.Put(nil, io.EOF)
+	if at := upload.CompletedAt(); !at.Equal(start) {
+		t.Errorf("the client's time starts %v after the last byte can have been written", at.Sub(start))
+	}
+}
--- a/internal/sidecar/clientserver/request_parser.go
+++ b/internal/sidecar/clientserver/request_parser.go
@@ -78,7 +78,7 @@
 	}
 	call.Outbound.Upload = inflight.NewUpload(length, first)
 	if conn := clientConn(r); conn != nil {
-		call.Outbound.Upload.LastByteNotBefore = conn.LastByteNotBefore
+		call.Outbound.Upload.Input = conn
 	}
 	return body, nil
 }
--- a/internal/sidecar/inflight/upload.go
+++ b/internal/sidecar/inflight/upload.go
@@ -32,10 +32,9 @@
 	Length int64 // total length in bytes; -1: unknown
 	prefix []byte
 
-	// LastByteNotBefore returns the earliest time at which the client can have written the last byte of the body, of
-	// which at least remaining bytes were not received, or the zero time if it has not written that byte. nil stands for a
-	// client of which every byte is received as soon as it is written.
-	LastByteNotBefore func(remaining int64) time.Time
+	// Input tells when the client wrote what is received. nil stands for a client of which every byte is received as soon
+	// as it is written.
+	Input Input
 
 	mu          sync.Mutex // guards the fields below
 	changed     sync.Cond  // signals changes of the fields below
@@ -47,6 +46,15 @@
 	completedAt time.Time  // when the client can have written the last byte at the earliest; zero: it was not received
 }
 
+// Input is the connection that a body is received from.
+type Input interface {
+	// LastByteNotBefore returns the earliest time at which the client can have written the last byte of the body, of which
+	// at least remaining bytes were not received, or the zero time if it has not written that byte.
+	LastByteNotBefore(remaining int64) time.Time
+	// LastReadNotBefore returns the earliest time at which the client can have written the last byte that was received.
+	LastReadNotBefore() time.Time
+}
+
 // NewUpload returns the upload of a body of which the prefix has been received.
 func NewUpload(length int64, prefix []byte) *Upload {
 	u := &Upload{Length: length, prefix: prefix, received: int64(len(prefix))}
@@ -84,7 +92,7 @@
 	u.pending = b
 	u.received += int64(len(b))
 	if err != nil {
-		u.endErr, u.completedAt = err, cmp.Or(u.lastByteNotBefore(), time.Now())
+		u.endErr, u.completedAt = err, u.lastReadNotBefore()
 	}
 	u.changed.Broadcast()
 	for len(u.pending) > 0 && !u.aborted {
@@ -123,15 +131,19 @@
 	if !u.completedAt.IsZero() {
 		return u.completedAt
 	}
-	return u.lastByteNotBefore()
+	if u.Input == nil {
+		return time.Time{}
+	}
+	return u.Input.LastByteNotBefore(max(u.Length-u.received, 0))
 }
 
-// lastByteNotBefore returns LastByteNotBefore for the bytes that are known to be missing. The caller holds the lock.
-func (u *Upload) lastByteNotBefore() time.Time {
-	if u.LastByteNotBefore == nil {
-		return time.Time{}
+// lastReadNotBefore returns the earliest time at which the client can have written the last byte that was received. The
+// caller holds the lock.
+func (u *Upload) lastReadNotBefore() time.Time {
+	if u.Input == nil {
+		return time.Now()
 	}
-	return u.LastByteNotBefore(max(u.Length-u.received, 0))
+	return cmp.Or(u.Input.LastReadNotBefore(), time.Now())
 }
 
 // Received returns the number of bytes of the body that were received.
