Count a request's time from its bytes also behind others on its connection

What callers saw: the later ones of requests sent at once on a connection were answered long after their time, and servers were told time that was over.

A request behind others is read when the sidecar turns to it, after the answers before it, and its time began there.

Fix: it begins when the bytes that it was read with can have been written at the earliest. For a client that waits for each answer that is when they are read, as before: a wait that ends with an answer shows that the next request was not there yet.

The tests of internal/sidecar hold.

--- a/internal/sidecar/clientserver/framing.go
+++ b/internal/sidecar/clientserver/framing.go
@@ -61,12 +61,20 @@
 	return nil
 }
 
-// receivedAt returns when the last byte of a request that has just been read was received.
+// receivedAt returns when the last byte of a request that has just been read was received. A request that waited behind
+// others on its connection was received before it was read.
 func receivedAt(r *http.Request) time.Time {
-	if conn := headConn(r); conn != nil {
-		return conn.ReceivedAt()
+	head := headConn(r)
+	if head == nil {
+		return time.Now()
 	}
-	return time.Now()
+	received := head.ReceivedAt()
+	if conn := clientConn(r); conn != nil {
+		if at := conn.LastReadNotBefore(); !at.IsZero() && at.Before(received) {
+			return at
+		}
+	}
+	return received
 }
 
 // checkFraming returns an error if two headers of a request state its length (RFC 9112, 6.3). HTTP/1.0 has no chunked
