--- a/internal/sidecar/sidecartest/flood.go
+++ b/internal/sidecar/sidecartest/flood.go
@@ -15,7 +15,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { conn.Close() })
-	go io.Copy(io.Discard, conn)
+	go func() { _, _ = io.Copy(io.Discard, conn) }()
 	go func() {
 		for many := strings.Repeat(request, 50); ; {
 			if _, err := io.WriteString(conn, many); err != nil {
--- a/internal/sidecar/sidecartest/upload.go
+++ b/internal/sidecar/sidecartest/upload.go
@@ -68,9 +68,9 @@
 	if o.Upload.Chunked {
 		framing = "chunked"
 	}
-	return fmt.Sprintf("%s %s, %s %d bytes, %d a second, wait %v: last byte after %v (all written: %v), status %d %v later: %v",
+	return fmt.Sprintf("%s %s, %s %d bytes, %d a second, wait %v: last byte after %d ms (all written: %v), status %d %d ms later: %v",
 		o.Upload.Class, o.Upload.ID, framing, o.Upload.Size, o.Upload.BytesPerSecond, o.Upload.Timeout,
-		o.LastAt.Sub(o.FirstAt).Round(time.Millisecond), o.Written, o.Status, o.Took.Round(time.Millisecond), o.Err)
+		o.LastAt.Sub(o.FirstAt).Milliseconds(), o.Written, o.Status, o.Took.Milliseconds(), o.Err)
 }
 
 // Send sends the request on a new connection and waits for the answer.
@@ -121,6 +121,9 @@
 		return
 	}
 	response, err := http.ReadResponse(in, nil)
+	for err == nil && response.StatusCode < http.StatusOK { // an interim response
+		response, err = http.ReadResponse(in, nil)
+	}
 	if err != nil {
 		o.Err = err
 		return
--- a/internal/sidecar/sidecartest/upload_play.go
+++ b/internal/sidecar/sidecartest/upload_play.go
@@ -102,10 +102,16 @@
 func (d uploadDrawing) client(number int, deadline time.Duration) (uploads []Upload) {
 	for spent := time.Duration(0); spent < playLength; {
 		u := Upload{
-			ID: fmt.Sprintf("%08x%08x", number, len(uploads)), Class: pick(d, "unsafe", "unsafe", "safe"),
+			ID: fmt.Sprintf("%08x%08x", number, len(uploads)), Class: pick(d, "unsafe", "unsafe", "keyed", "safe"),
 			Timeout: time.Duration((0.4 + 0.6*d.Float64()) * float64(deadline)), StartAfter: d.between(0, maxClientPauses),
 		}
-		if u.Class == "unsafe" {
+		if u.Class == "keyed" {
+			u.Lines = "Idempotency-Key: " + u.ID + "\r\n"
+		}
+		if u.Class != "safe" {
+			if d.IntN(8) == 0 {
+				u.Lines += "Expect: 100-continue\r\n"
+			}
 			u.Size = int(100 * math.Pow(maxUploadSize/100, d.Float64()))
 			u.Chunked = d.IntN(2) == 0
 			u.Piece = pick(d, 0, 0, 1_000, 9_000, 40_000)
