--- a/internal/sidecar/netcall/conn.go
+++ b/internal/sidecar/netcall/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -29,32 +30,35 @@
 
 // WriteNow writes what the system accepts without waiting. A client that does not read gets nothing.
 func WriteNow(c net.Conn, text string) {
+	_ = withDescriptor(c, func(fd int) { _, _ = syscall.Write(fd, []byte(text)) })
+}
+
+// errNoDescriptor reports a connection that is not a socket of the system.
+var errNoDescriptor = errors.New("connection has no socket descriptor")
+
+// withDescriptor calls a function with the descriptor of a connection. It does not wait for reads or writes that are in
+// progress. The error is errNoDescriptor if the connection has none, another one if it was closed by this side.
+func withDescriptor(c net.Conn, call func(fd int)) error {
 	conn, ok := c.(syscall.Conn)
 	if !ok {
-		return
+		return errNoDescriptor
 	}
-	if raw, err := conn.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { _, _ = syscall.Write(int(fd), []byte(text)) })
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return errors.Join(errNoDescriptor, err)
 	}
+	return raw.Control(func(fd uintptr) { call(int(fd)) })
 }
 
 // SinceLastData returns how long ago the system received the last bytes from the remote side or, if there were none,
 // how long ago the connection was established. The resolution is that of the system's clock, some milliseconds. It
 // returns 0 if the system does not report the time.
 func SinceLastData(conn net.Conn) time.Duration {
-	tcp, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0
-	}
 	var info *unix.TCPInfo
 	var queryErr error
-	err = raw.Control(func(fd uintptr) {
+	err := withDescriptor(conn, func(fd int) {
 		queryErr = RetryQuery(func() (err error) {
-			info, err = tcpInfo(int(fd))
+			info, err = tcpInfo(fd)
 			return err
 		})
 	})
--- a/internal/sidecar/netcall/conn_state.go
+++ b/internal/sidecar/netcall/conn_state.go
@@ -4,14 +4,10 @@
 	"errors"
 	"net"
 	"sync/atomic"
-	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-// errNoDescriptor reports a connection that is not a socket of the system.
-var errNoDescriptor = errors.New("connection has no socket descriptor")
-
 // ConnStateReader reports whether the remote side has closed, half-closed or reset a connection, even if unread bytes
 // arrived before that. It consumes no bytes.
 type ConnStateReader struct {
@@ -49,18 +45,10 @@
 
 // State returns the TCP state of a connection. It repeats a query that fails because the system is short of resources.
 func (s *ConnStateReader) State(c net.Conn) (state uint8, err error) {
-	tcp, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, errNoDescriptor
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
 	var queryErr error
-	err = raw.Control(func(fd uintptr) {
+	err = withDescriptor(c, func(fd int) {
 		queryErr = RetryQuery(func() (err error) {
-			state, err = s.Query(int(fd))
+			state, err = s.Query(fd)
 			return err
 		})
 	})
--- a/internal/sidecar/netcall/peek.go
+++ b/internal/sidecar/netcall/peek.go
@@ -16,16 +16,8 @@
 
 // UnreadBytes returns the number of bytes that the system has received on a connection and that were not read.
 func UnreadBytes(c net.Conn) (bytes int, err error) {
-	tcp, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, errNoDescriptor
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
 	var queryErr error
-	err = raw.Control(func(fd uintptr) { bytes, queryErr = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	err = withDescriptor(c, func(fd int) { bytes, queryErr = unix.IoctlGetInt(fd, unix.TIOCINQ) })
 	return bytes, errors.Join(err, queryErr)
 }
 
@@ -57,24 +49,18 @@
 
 // peekState peeks at a connection without consuming bytes.
 func peekState(c net.Conn) peekResult {
-	tcp, ok := c.(syscall.Conn)
-	if !ok {
-		return peekUnknown
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return peekUnknown
-	}
 	var state peekResult
-	// Control instead of Read, as another goroutine may be reading the connection.
-	err = raw.Control(func(fd uintptr) {
+	err := withDescriptor(c, func(fd int) {
 		var first [1]byte
 		state = peekWith(func() (int, error) {
-			n, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			n, _, err := syscall.Recvfrom(fd, first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 			return n, err
 		})
 	})
-	if err != nil {
+	switch {
+	case errors.Is(err, errNoDescriptor):
+		return peekUnknown
+	case err != nil:
 		return peekEnded // closed by this side
 	}
 	return state
