Let two tests hold on a busy machine, with what they check unchanged or stricter

The test took the first call that its stand-in reports for the patient one. It takes four calls now and waits until all but one have ended; that one, which must be open still, gets the list.

--- a/internal/sidecar/sidecartest/backend.go
+++ b/internal/sidecar/sidecartest/backend.go
@@ -165,6 +165,16 @@
 	Cancelled <-chan struct{} // closed when the caller has disconnected
 }
 
+// HasEnded reports whether the caller has disconnected.
+func (c DiscoveryCall) HasEnded() bool {
+	select {
+	case <-c.Cancelled:
+		return true
+	default:
+		return false
+	}
+}
+
 // NewFakeDiscovery starts a fake list service.
 func NewFakeDiscovery(t *testing.T) *FakeDiscovery {
 	r := &FakeDiscovery{Calls: make(chan DiscoveryCall, 16)}
