--- a/internal/sidecar/discovery/lists_test.go
+++ b/internal/sidecar/discovery/lists_test.go
@@ -6,8 +6,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
