Restore the check that sound requests beside slow crowds are served or rejected

Both failures came from 14 crowds at once, which took the test's own process; since two are played at a time the narrower check is not needed. The first form, 200 or 503, is back, and the answer has to be in time as well, which is stricter than at first.

--- a/cmd/sidecar/memory_test.go
+++ b/cmd/sidecar/memory_test.go
@@ -23,7 +23,7 @@
 }
 
 // A process keeps within its memory limit, all its pages counted, while hundreds of clients stop within long requests,
-// write them slowly or read long answers slowly. Clients beside them get an answer in time, from a server or without one.
+// write them slowly or read long answers slowly. Clients beside them are served or rejected in time.
 func TestMemory_manySlowClients(t *testing.T) {
 	const crowd, size, playedAtOnce = 600, 1_000_000, 2
 	program, slots := buildProgram(t), make(chan struct{}, playedAtOnce)
@@ -62,8 +62,8 @@
 					t.Errorf("%.1f MB were resident, the limit is %d MB", float64(usage.PeakRSS)/(1<<20), memoryMB)
 				}
 				sound := sidecartest.Upload{ID: "sound", Class: "unsafe", Timeout: 3 * time.Second, Size: 200}
-				if outcome := sound.Send(p.addr); outcome.Late(lag()) && !outcome.Unheard { // a full sidecar may close it unread
-					t.Errorf("a sound request got no answer in time: %v", outcome)
+				if outcome := sound.Send(p.addr); outcome.Late(lag()) || outcome.Status != 200 && outcome.Status != 503 {
+					t.Errorf("a sound request was neither served nor rejected in time: %v", outcome)
 				}
 				p.cmd.Process.Kill()
 				p.cmd.Wait()
