--- a/review/standin-2/lib.go
+++ b/review/standin-2/lib.go
@@ -205,18 +205,18 @@
 	return l.Addr().String()
 }
 
-// runLine returns the value of `run` in the deploy file.
-func runLine() string {
+// deployValue returns the value of a key in the deploy file.
+func deployValue(key string) string {
 	text, err := os.ReadFile(filepath.Join(repoRoot(), "deploy", "balancer.toml"))
 	if err != nil {
 		cannotRun("deploy file: %v", err)
 	}
 	for _, line := range strings.Split(string(text), "\n") {
-		if value, ok := strings.CutPrefix(line, "run = "); ok {
+		if value, ok := strings.CutPrefix(line, key+" = "); ok {
 			return strings.Trim(value, "\"")
 		}
 	}
-	cannotRun("the deploy file has no run")
+	cannotRun("the deploy file has no %s", key)
 	return ""
 }
 
@@ -239,7 +239,7 @@
 	tmp := filepath.Join(dir, "tmp")
 	os.MkdirAll(tmp, 0o755)
 	logFile, _ := os.OpenFile(filepath.Join(dir, "log.txt"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	cmd := exec.Command("/bin/sh", "-c", runLine())
+	cmd := exec.Command("/bin/sh", "-c", deployValue("run"))
 	cmd.Dir = repoRoot()
 	cmd.Env = append(os.Environ(), "NODE_CONFIG="+path, "TMPDIR="+tmp)
 	cmd.Stdout, cmd.Stderr = logFile, logFile
