Discard the actions of an instance that is killed in the same frame

Callers (the simulator): where an instance got a request, was killed and began again in one batch, the reply had the killed instance's hand_off in the name of the one that began: a request that it was never given, also of classes that must never run twice. Where nothing began again, a dead instance acted.

Cause: the actions of a reply take effect together, after all events of the batch. host.handle encoded them at once and at a kill forgot the instance, but not what it had already put into the reply.

Why it works: wire.Reply records the instance of each run of records; DiscardActions marks those of an instance, and they are taken out when the reply is written. The adapter calls it at each kill and each start. Faults of the program stay in the reply.

TestRun_restartWithinFrame demanded one send of each incarnation, so it had the fault as its expectation.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -54,6 +54,7 @@
 	}()
 	switch ev := rec.Event.(type) {
 	case wire.InstanceStart:
+		h.forget(rec.Instance)
 		cfg, err := wire.ParseSettings(ev.Seed, ev.Settings)
 		if err != nil {
 			h.instances[rec.Instance] = nil // later events of the instance are ignored
@@ -69,7 +70,7 @@
 		h.instances[rec.Instance] = b
 		h.reply.Add(rec.Instance, b.Start(clock))
 	case wire.InstanceStop:
-		delete(h.instances, rec.Instance)
+		h.forget(rec.Instance)
 	case balance.Event:
 		b, known := h.instances[rec.Instance]
 		if b == nil && known {
@@ -87,3 +88,10 @@
 	}
 	return nil
 }
+
+// forget removes an instance that was killed or that starts anew, with the actions that it has added to the reply: they
+// would take effect in the name of the instance that runs after the frame.
+func (h *host) forget(instance uint16) {
+	delete(h.instances, instance)
+	h.reply.DiscardActions(instance)
+}
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -42,6 +42,12 @@
 	return record(uint16(1070), instance, seed, uint32(len(profile)), []byte(profile))
 }
 
+// stopRecord returns a record that kills an instance.
+func stopRecord(instance uint16) []byte { return record(uint16(1060), instance) }
+
+// timerRecord returns a record with a timer that is due.
+func timerRecord(instance uint16, token uint64) []byte { return record(uint16(1020), instance, token) }
+
 // tableRecord returns a record with a table of n servers.
 func tableRecord(n int) []byte {
 	b := record(uint16(1000), uint16(0), uint32(n))
@@ -71,26 +77,39 @@
 	return out.Bytes()
 }
 
-// countSends counts attempts by instance, in replies that contain only attempts and timers.
-func countSends(t *testing.T, replies []byte) map[uint16]int {
+// actionSizes are the sizes of the actions that the tests' settings lead to, in bytes by code.
+var actionSizes = map[uint16]int{1000: 26, 1010: 20, 1020: 12, 1040: 20, 1100: 5, 1110: 4}
+
+// splitReplies splits replies into a list of actions for each, without the headers.
+func splitReplies(t *testing.T, replies []byte) [][][]byte {
 	t.Helper()
-	n := map[uint16]int{}
+	var out [][][]byte
 	for len(replies) > 0 {
 		size := binary.BigEndian.Uint32(replies)
+		var actions [][]byte
 		for p := replies[4:size]; len(p) > 0; {
-			switch binary.BigEndian.Uint16(p) {
-			case 1000:
-				n[binary.BigEndian.Uint16(p[2:])]++
-				p = p[26:]
-			case 1040:
-				p = p[20:]
-			default:
+			n := actionSizes[binary.BigEndian.Uint16(p)]
+			if n == 0 {
 				t.Fatalf("unexpected action %d", binary.BigEndian.Uint16(p))
 			}
+			actions, p = append(actions, p[:n]), p[n:]
+		}
+		out, replies = append(out, actions), replies[size:]
+	}
+	return out
+}
+
+// requestsSent returns the requests that an instance sends, in order.
+func requestsSent(t *testing.T, replies []byte, instance uint16) (ids []uint64) {
+	t.Helper()
+	for _, actions := range splitReplies(t, replies) {
+		for _, action := range actions {
+			if binary.BigEndian.Uint16(action) == 1000 && binary.BigEndian.Uint16(action[2:]) == instance {
+				ids = append(ids, binary.BigEndian.Uint64(action[4:]))
+			}
 		}
-		replies = replies[size:]
 	}
-	return n
+	return ids
 }
 
 // An instance returns the same actions whether it runs alone or with others in one process.
@@ -112,46 +131,28 @@
 	together := play(1, 2, 3)
 	for _, i := range []uint16{1, 2, 3} {
 		apart := play(i)
-		if n, m := countSends(t, together)[i], countSends(t, apart)[i]; n != 60 || m != 60 {
+		if n, m := len(requestsSent(t, together, i)), len(requestsSent(t, apart, i)); n != 60 || m != 60 {
 			t.Fatalf("instance %d sent %d together, %d alone", i, n, m)
 		}
-		if !bytes.Equal(actionsOf(together, i), actionsOf(apart, i)) {
+		if !bytes.Equal(actionsOf(t, together, i), actionsOf(t, apart, i)) {
 			t.Fatalf("instance %d returns other actions alone than together with two others", i)
 		}
 	}
 }
 
-// actionsOf returns the records of one instance.
-func actionsOf(replies []byte, instance uint16) []byte {
-	var out []byte
-	for len(replies) > 0 {
-		size := binary.BigEndian.Uint32(replies)
-		for p := replies[4:size]; len(p) > 0; {
-			n := 20
-			if binary.BigEndian.Uint16(p) == 1000 {
-				n = 26
-			}
-			if binary.BigEndian.Uint16(p[2:]) == instance {
-				out = append(out, p[:n]...)
+// actionsOf returns the actions of one instance.
+func actionsOf(t *testing.T, replies []byte, instance uint16) (out []byte) {
+	t.Helper()
+	for _, actions := range splitReplies(t, replies) {
+		for _, action := range actions {
+			if binary.BigEndian.Uint16(action[2:]) == instance {
+				out = append(out, action...)
 			}
-			p = p[n:]
 		}
-		replies = replies[size:]
 	}
 	return out
 }
 
-// An instance may stop and start again within one frame.
-func TestRun_restartWithinFrame(t *testing.T) {
-	s := &frameScript{}
-	s.frame(1000, startRecord(1, 7, settings), tableRecord(3), cachedListRecord(1), requestRecord(1, 5),
-		record(uint16(1060), uint16(1)), startRecord(1, 8, settings), cachedListRecord(1), requestRecord(1, 6))
-	s.frame(1001, record(uint16(1020), uint16(1), uint64(5))) // a timer of the stopped instance is ignored
-	if n := countSends(t, mustRun(t, s)); n[1] != 2 {
-		t.Fatalf("%d sends, want one of each incarnation", n[1])
-	}
-}
-
 // Invalid settings are reported as a fault of the instance.
 func TestRun_invalidSettings(t *testing.T) {
 	s := &frameScript{}
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -27,14 +27,31 @@
 	replyHeaderSize = 4
 )
 
-// Reply collects the actions for one frame.
-type Reply struct{ buf []byte }
+// Reply collects the actions for one frame. They take effect together, after all events of the frame, so the actions of
+// an instance that is killed within the frame have to be discarded.
+type Reply struct {
+	buf          []byte
+	sections     []section
+	discardedEnd map[uint16]int // by instance: its actions that end at or before this offset in buf are discarded
+}
+
+// section is a run of consecutive records in a reply.
+type section struct {
+	instance uint16
+	end      int  // offset in the reply's buffer; the section starts where the one before it ends
+	isFault  bool // a fault of this program, which outlives the instance
+}
 
 // Reset empties the reply.
-func (r *Reply) Reset() { r.buf = append(r.buf[:0], make([]byte, replyHeaderSize)...) }
+func (r *Reply) Reset() {
+	r.buf = append(r.buf[:0], make([]byte, replyHeaderSize)...)
+	r.sections = r.sections[:0]
+	clear(r.discardedEnd)
+}
 
-// WriteTo writes the reply as one frame.
+// WriteTo writes the reply as one frame, without the discarded actions.
 func (r *Reply) WriteTo(w io.Writer) (int64, error) {
+	r.removeDiscarded()
 	binary.BigEndian.PutUint32(r.buf, uint32(len(r.buf)))
 	n, err := w.Write(r.buf)
 	return int64(n), err
@@ -42,15 +59,54 @@
 
 // Add appends the actions of one instance.
 func (r *Reply) Add(instance uint16, actions []balance.Action) {
+	if len(actions) == 0 {
+		return
+	}
 	for i := range actions {
 		r.add(instance, &actions[i])
 	}
+	r.endSection(instance, false)
 }
 
 // Fault reports that an instance failed: by invalid settings, an invalid event, or a panic.
 func (r *Reply) Fault(instance uint16, text string) {
 	r.head(codeFault, instance)
 	r.text([]byte(text))
+	r.endSection(instance, true)
+}
+
+// DiscardActions discards all actions that an instance has added since the last Reset. Its faults remain in the reply.
+func (r *Reply) DiscardActions(instance uint16) {
+	if r.discardedEnd == nil {
+		r.discardedEnd = map[uint16]int{}
+	}
+	r.discardedEnd[instance] = len(r.buf)
+}
+
+// endSection ends a section with the records that were appended since the end of the section before it.
+func (r *Reply) endSection(instance uint16, isFault bool) {
+	r.sections = append(r.sections, section{instance: instance, end: len(r.buf), isFault: isFault})
+}
+
+// removeDiscarded removes the discarded actions from the buffer. The other records keep their order.
+func (r *Reply) removeDiscarded() {
+	if len(r.discardedEnd) == 0 {
+		return
+	}
+	kept := r.sections[:0]
+	start, size := replyHeaderSize, replyHeaderSize
+	for _, s := range r.sections {
+		records := r.buf[start:s.end]
+		start = s.end
+		if !s.isFault && s.end <= r.discardedEnd[s.instance] {
+			continue
+		}
+		size += copy(r.buf[size:], records)
+		s.end = size
+		kept = append(kept, s)
+	}
+	r.buf, r.sections = r.buf[:size], kept
+	clear(r.discardedEnd)
 }
 
 // add appends one action as a record.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -114,6 +114,39 @@
 	}
 }
 
+// Guards against actions of a killed instance in a reply, and against a loss of other instances' actions or of a fault.
+func TestReply_discardActions(t *testing.T) {
+	var r, want Reply
+	r.Reset()
+	want.Reset()
+	timer := func(token uint64) []balance.Action { return []balance.Action{{Kind: balance.SetTimer, Token: token}} }
+	r.Add(1, timer(1))
+	r.Add(2, timer(2))
+	r.Fault(1, "panic")
+	r.DiscardActions(1)
+	r.Add(1, timer(3))
+	r.DiscardActions(1)
+	r.DiscardActions(3) // has no actions
+	r.Add(1, timer(4))
+	r.Add(2, timer(5))
+	want.Add(2, timer(2))
+	want.Fault(1, "panic")
+	want.Add(1, timer(4))
+	want.Add(2, timer(5))
+	for n := range 2 { // the discards of one frame do not apply to the next
+		var got, expected bytes.Buffer
+		r.WriteTo(&got)
+		want.WriteTo(&expected)
+		if !bytes.Equal(got.Bytes(), expected.Bytes()) {
+			t.Errorf("frame %d: got  %x\nwant %x", n, got.Bytes(), expected.Bytes())
+		}
+		for _, reply := range []*Reply{&r, &want} {
+			reply.Reset()
+			reply.Add(1, timer(6))
+		}
+	}
+}
+
 // A malformed frame is an error.
 func TestReader_malformedFrames(t *testing.T) {
 	for name, frame := range map[string]string{
