Answer OPTIONS * by the handler, not by net/http

Callers: a peer that sent OPTIONS * got 200 with an empty body though no stock server had seen its request; by the protocol 200 means served. The management address and the registry answered it with 200 too, the former also while the sidecar drained.

Cause: http.Server answers OPTIONS * before it calls the handler, unless DisableGeneralOptionsHandler is set. None of the handler's checks was made: framing, path, the limit of own responses, the end of the connection in a drain.

Why it works: each http.Server of the program sets the option, so that these requests go the way of all others: 404 from the sidecar and its management address, 400 from the registry.

--- a/internal/lab/experiment/growth/process.go
+++ b/internal/lab/experiment/growth/process.go
@@ -292,6 +292,7 @@
 	s := &standInServers{}
 	body := []byte(strings.Repeat("x", 256))
 	s.http = &http.Server{
+		DisableGeneralOptionsHandler: true,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			time.Sleep(workTime)
 			_, _ = w.Write(body) // the error is ignored: it means that the sidecar has ended
--- a/internal/lab/experiment/requestcost/server.go
+++ b/internal/lab/experiment/requestcost/server.go
@@ -40,7 +40,7 @@
 	}
 	s := &server{addr: l.Addr().String(), inSubset: inSubset, done: make(chan struct{})}
 	body := []byte(strings.Repeat("x", 256))
-	s.http = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.http = &http.Server{DisableGeneralOptionsHandler: true, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.received.Add(1)
 		if r.Header.Get("X-Route-Rev") != "" {
 			s.routed.Add(1)
--- a/internal/registry/node.go
+++ b/internal/registry/node.go
@@ -129,7 +129,7 @@
 		return nil, err
 	}
 	n.http = &http.Server{Handler: n.readers.observeRequests(n.server.Handler()), ReadHeaderTimeout: 5 * time.Second,
-		ErrorLog: slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug)}
+		DisableGeneralOptionsHandler: true, ErrorLog: slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug)}
 	return n, nil
 }
 
--- a/internal/sidecar/clientserver/server.go
+++ b/internal/sidecar/clientserver/server.go
@@ -121,10 +121,11 @@
 // requests with a body.
 func (s *Server) AbortBodies() { s.bodies.abort() }
 
-// HTTPServer returns a net/http server that uses s as its handler.
+// HTTPServer returns a net/http server that uses s as its handler. net/http does not answer OPTIONS * by itself: a
+// response with status 200 may only come from a stock server or the ready check.
 func (s *Server) HTTPServer() *http.Server {
 	return &http.Server{
-		Handler: s, ReadHeaderTimeout: s.options.ReadTimeout, MaxHeaderBytes: framing.MaxHeader, ConnContext: withConn,
+		Handler: s, DisableGeneralOptionsHandler: true, ReadHeaderTimeout: s.options.ReadTimeout, MaxHeaderBytes: framing.MaxHeader, ConnContext: withConn,
 		ConnState: s.connStateChanged,
 		ErrorLog:  slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
--- a/internal/sidecar/management.go
+++ b/internal/sidecar/management.go
@@ -23,7 +23,7 @@
 func (s *Sidecar) managementServer() *http.Server {
 	srv := &http.Server{
 		Handler: http.HandlerFunc(s.handleManagement), ReadTimeout: config.ManagementTimeout, WriteTimeout: config.ManagementTimeout,
-		MaxHeaderBytes: maxManagementHead,
+		MaxHeaderBytes: maxManagementHead, DisableGeneralOptionsHandler: true,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if conn, ok := c.(*clientserver.ClientConn); ok && state == http.StateActive {
 				conn.RequestRead() // ManagementTimeout still limits the time of the request
