--- a/internal/sidecar/clientserver/head_memory.go
+++ b/internal/sidecar/clientserver/head_memory.go
@@ -4,17 +4,15 @@
 	"log/slog"
 	"time"
 
+	"marblelane/internal/sidecar/loglimit"
 	"marblelane/internal/sidecar/memory"
 	"marblelane/internal/sidecar/netcall"
 )
 
-// headShortageLogInterval is the minimum time between two log lines about a shortage of memory for heads.
-const headShortageLogInterval = time.Second
-
 // headShortage counts the requests that got a 503 because the memory for heads was used up, since the last log line.
 type headShortage struct {
 	evicted, rejected int
-	loggedAt          time.Time
+	interval          loglimit.Interval
 }
 
 // SetHeadMemory sets the memory for the heads of requests on all connections together, in bytes. Each connection has a
@@ -70,13 +68,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	count(&l.headShortage)
-	if time.Since(l.headShortage.loggedAt) < headShortageLogInterval {
+	if !l.headShortage.interval.Due(time.Now()) {
 		return
 	}
 	used, limit := l.heads.Usage()
 	slog.Warn("clients: the memory for request heads is used up, requests are rejected", "incomplete", l.headShortage.evicted,
 		"next", l.headShortage.rejected, "used_bytes", used, "limit_bytes", limit)
-	l.headShortage = headShortage{loggedAt: time.Now()}
+	l.headShortage.evicted, l.headShortage.rejected = 0, 0
 }
 
 // HeadMemory returns the memory that is reserved for the head that is being received.
--- a/internal/sidecar/upstream/head_memory.go
+++ b/internal/sidecar/upstream/head_memory.go
@@ -4,16 +4,15 @@
 	"log/slog"
 	"sync"
 	"time"
-)
 
-// headShortageLogInterval is the minimum time between two log lines about a shortage of memory for heads.
-const headShortageLogInterval = time.Second
+	"marblelane/internal/sidecar/loglimit"
+)
 
 // headShortageLog logs responses that were dropped because the memory for heads was used up.
 type headShortageLog struct {
 	mu       sync.Mutex
 	dropped  int // since the last line
-	loggedAt time.Time
+	interval loglimit.Interval
 }
 
 // SetHeadMemory sets the memory for the heads of responses on all connections together, in bytes. Each connection has a
@@ -26,11 +25,11 @@
 	shortage.mu.Lock()
 	defer shortage.mu.Unlock()
 	shortage.dropped++
-	if time.Since(shortage.loggedAt) < headShortageLogInterval {
+	if !shortage.interval.Due(time.Now()) {
 		return
 	}
 	used, limit := p.heads.Usage()
 	slog.Warn("servers: the memory for response heads is used up, responses are dropped", "dropped", shortage.dropped,
 		"server", server.Endpoint, "used_bytes", used, "limit_bytes", limit)
-	shortage.dropped, shortage.loggedAt = 0, time.Now()
+	shortage.dropped = 0
 }
