--- a/internal/sidecar/clientserver/server.go
+++ b/internal/sidecar/clientserver/server.go
@@ -125,9 +125,9 @@
 // response with status 200 may only come from a stock server or the ready check.
 func (s *Server) HTTPServer() *http.Server {
 	return &http.Server{
-		Handler: s, DisableGeneralOptionsHandler: true, ReadHeaderTimeout: s.options.ReadTimeout, MaxHeaderBytes: framing.MaxHeader, ConnContext: withConn,
-		ConnState: s.connStateChanged,
-		ErrorLog:  slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+		Handler: s, DisableGeneralOptionsHandler: true, ConnContext: withConn, ConnState: s.connStateChanged,
+		ReadHeaderTimeout: s.options.ReadTimeout, MaxHeaderBytes: framing.MaxHeader,
+		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
 }
 
